Route requests by key through twelve daemons, thin and whole

Change: workspace of eight packages, two binaries, stand-ins for the platform and the targets, a demo that starts twelve daemons and checks every answer.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,48 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := wire resources platform placement routing daemon ctl fakes
+SEED ?= 1
+SECONDS ?= 60
+
+.PHONY: setup demo test lint format soak measure bench stubs
+
+setup: $(VENV)/.ready
+
+$(VENV)/.ready: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install -q --disable-pip-version-check \
+		-c constraints.txt hatchling editables
+	$(BIN)/python -m pip install -q --disable-pip-version-check --no-build-isolation \
+		-c constraints.txt -r requirements-dev.txt \
+		$(foreach package,$(PACKAGES),-e packages/$(package))
+	touch $@
+
+demo: setup
+	$(BIN)/python -m peridot_fakes.demo
+
+lint: setup
+	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
+
+format: setup
+	$(BIN)/ruff check --fix .
+	$(BIN)/ruff format .
+
+test: lint
+	$(BIN)/python -m pytest
+
+soak: setup
+	$(BIN)/python -m peridot_fakes.soak --seed=$(SEED) --seconds=$(SECONDS)
+
+measure: setup
+	$(BIN)/python -m benchmarks.measure
+
+bench: setup
+	$(BIN)/python -m benchmarks.data_path
+
+stubs:
+	cd packages/wire/peridot_wire && $(abspath $(BIN))/python -m grpc_tools.protoc \
+		-I. --python_out=. --grpclib_python_out=. peridot.proto
+	sed -i 's/^import peridot_pb2/from peridot_wire import peridot_pb2/' \
+		packages/wire/peridot_wire/peridot_grpc.py
--- /dev/null
+++ b/packages/daemon/peridot_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon peridotd."""
--- /dev/null
+++ b/packages/daemon/peridot_daemon/metrics.py
@@ -0,0 +1,46 @@
+"""Metrics of the daemon, in Prometheus form."""
+
+from collections.abc import Callable, Iterable
+
+from prometheus_client import CollectorRegistry, Counter, Histogram
+from prometheus_client.core import GaugeMetricFamily, Metric
+
+LATENCY_BUCKETS_S = (0.001, 0.0025, 0.005, 0.009, 0.025, 0.05, 0.1, 0.5, 1.0, 5.0)
+
+
+class Metrics:
+    """Hold counters of requests and gauges read when scraped."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = Counter(
+            "peridot_requests",
+            "Requests of callers by final outcome.",
+            ("service", "outcome"),
+            registry=self.registry,
+        )
+        self.latency = Histogram(
+            "peridot_request_seconds",
+            "Time from a caller's request to its answer.",
+            ("service",),
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.gauges = GaugeCollector()
+        self.registry.register(self.gauges)
+
+
+class GaugeCollector:
+    """Read gauges from functions at each scrape."""
+
+    def __init__(self) -> None:
+        self.readers: dict[str, tuple[str, Callable[[], float]]] = {}
+
+    def add(self, name: str, help_text: str, read: Callable[[], float]) -> None:
+        """Add a gauge."""
+        self.readers[name] = (help_text, read)
+
+    def collect(self) -> Iterable[Metric]:
+        """Return all gauges with their values of now."""
+        for name, (help_text, read) in self.readers.items():
+            yield GaugeMetricFamily(f"peridot_{name}", help_text, value=read())
--- /dev/null
+++ b/packages/daemon/peridot_daemon/peers.py
@@ -0,0 +1,196 @@
+"""Server for other daemons: forwarded requests, leases, replica streams."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+from grpclib.exceptions import StreamTerminatedError
+from grpclib.server import Server, Stream
+
+from peridot_daemon.messages import (
+    InvalidMessage,
+    parse_request,
+    serialize_change,
+    serialize_outcome,
+    serialize_vm,
+)
+from peridot_daemon.replica import Replica
+from peridot_daemon.settings import split_address
+from peridot_daemon.tls import PeerTls
+from peridot_placement.errors import InvariantViolation
+from peridot_placement.keeper import TermKeeper
+from peridot_placement.placer import Placer
+from peridot_placement.terms import Candidate
+from peridot_resources.catalog import Catalog
+from peridot_routing.outcomes import NotRun, Outcome, Reason
+from peridot_routing.router import Router
+from peridot_wire import peridot_pb2 as pb
+from peridot_wire.peridot_grpc import PeerBase
+
+SYNC_PERIOD_S = 1.0
+# A message of the inner protocol stays below this, for values of up to a megabyte.
+MAX_AGE_MS = 2**32 - 1
+
+
+class PeerServer(PeerBase):
+    """Serve the inner protocol."""
+
+    def __init__(
+        self,
+        me: Candidate,
+        keeper: TermKeeper,
+        replica: Replica,
+        router: Router,
+        catalog: Callable[[], Catalog],
+    ) -> None:
+        self.me = me
+        self.keeper = keeper
+        self.replica = replica
+        self.router = router
+        self.catalog = catalog
+        self.forwarded = 0
+
+    async def Forward(self, stream: Stream[pb.ForwardRequest, pb.ForwardReply]) -> None:
+        replies: asyncio.Queue[pb.ForwardReply] = asyncio.Queue()
+        tasks: dict[int, asyncio.Task] = {}
+        sender = asyncio.create_task(_send_replies(stream, replies))
+        try:
+            async for message in stream:
+                if message.cancel:
+                    self._cancel(tasks, message.id)
+                    continue
+                task = asyncio.create_task(self._serve(message, replies))
+                tasks[message.id] = task
+                task.add_done_callback(lambda _, id=message.id: tasks.pop(id, None))
+        finally:
+            sender.cancel()
+
+    async def Sync(self, stream: Stream[pb.SyncRequest, pb.SyncUpdate]) -> None:
+        request = await stream.recv_message()
+        known = request.revision
+        sent_vms: tuple = ()
+        while True:
+            changed = self.replica.changed
+            update = pb.SyncUpdate(
+                revision=self.replica.revision,
+                age_ms=min(MAX_AGE_MS, int(min(self.replica.age_s, 1e6) * 1000)),
+            )
+            for change in self.replica.changes_since(known):
+                update.changes.append(serialize_change(change))
+            if self.replica.vms is not sent_vms:
+                sent_vms = self.replica.vms
+                update.vms.extend(serialize_vm(vm) for vm in sent_vms)
+            if self.replica.loaded:
+                await stream.send_message(update)
+                known = update.revision
+            try:
+                async with asyncio.timeout(SYNC_PERIOD_S):
+                    await changed.wait()
+            except TimeoutError:
+                pass
+
+    async def Lease(self, stream: Stream[pb.LeaseAsk, pb.LeaseReply]) -> None:
+        first = await stream.recv_message()
+        placer = self.keeper.placer
+        if first is None:
+            return
+        if placer is None:
+            record = self.keeper.record
+            reply = pb.LeaseReply(ask_id=first.ask_id)
+            if record is not None and record.holder != self.me:
+                reply.holder_address = record.holder.address
+            else:
+                return
+            await stream.send_message(reply)
+            return
+        holder = Candidate(first.vm, first.instance, first.peer_address)
+        lock = asyncio.Lock()
+        with placer.connection(holder):
+            pusher = asyncio.create_task(self._push(stream, placer, holder, lock))
+            try:
+                await self._answer(stream, placer, first, lock)
+            finally:
+                pusher.cancel()
+
+    async def Promise(self, stream: Stream[pb.PromiseRequest, pb.PromiseReply]) -> None:
+        request = await stream.recv_message()
+        promised = request.instance == self.me.instance and self.keeper.promise(
+            request.term, request.length_ms / 1000
+        )
+        await stream.send_message(
+            pb.PromiseReply(promised=promised, instance=self.me.instance)
+        )
+
+    async def Probe(self, stream: Stream[pb.ProbeRequest, pb.ProbeReply]) -> None:
+        await stream.recv_message()
+        await stream.send_message(
+            pb.ProbeReply(vm=self.me.vm, instance=self.me.instance)
+        )
+
+    async def _answer(
+        self, stream: Stream, placer: Placer, first: pb.LeaseAsk, lock: asyncio.Lock
+    ) -> None:
+        ask: pb.LeaseAsk | None = first
+        while ask is not None and self.keeper.placer is placer:
+            try:
+                reply = placer.answer(ask)
+            except InvariantViolation as error:
+                placer.held.stopped = True
+                placer.log.write("invariant_violated", detail=error)
+                return
+            async with lock:
+                await stream.send_message(reply)
+            ask = await stream.recv_message()
+
+    async def _push(
+        self, stream: Stream, placer: Placer, holder: Candidate, lock: asyncio.Lock
+    ) -> None:
+        """Send tables and live VMs as soon as they change."""
+        while True:
+            await placer.push_event.wait()
+            entry = placer.ledger.entry(holder)
+            async with lock:
+                await stream.send_message(placer.describe_changes(entry.applied))
+
+    def _cancel(self, tasks: dict[int, asyncio.Task], number: int) -> None:
+        task = tasks.get(number)
+        if task is not None:
+            task.cancel()
+
+    async def _serve(self, message: pb.ForwardRequest, replies: asyncio.Queue) -> None:
+        self.forwarded += 1
+        try:
+            outcome = await self._dispatch(message)
+        finally:
+            self.forwarded -= 1
+        replies.put_nowait(serialize_outcome(outcome, message.id))
+
+    async def _dispatch(self, message: pb.ForwardRequest) -> Outcome:
+        try:
+            request = parse_request(message, self.catalog())
+        except InvalidMessage as error:
+            return NotRun(Reason.BAD_REQUEST, detail=str(error))
+        return await self.router.serve_forwarded(request, message.target)
+
+
+@asynccontextmanager
+async def serve_peers(
+    server: PeerServer, address: str, tls: PeerTls
+) -> AsyncIterator[None]:
+    """Listen for other daemons while the context lasts."""
+    grpc_server = Server([server])
+    host, port = split_address(address)
+    await grpc_server.start(host, port, ssl=tls.server)
+    try:
+        yield
+    finally:
+        grpc_server.close()
+        await grpc_server.wait_closed()
+
+
+async def _send_replies(stream: Stream, replies: asyncio.Queue) -> None:
+    try:
+        while True:
+            await stream.send_message(await replies.get())
+    except (StreamTerminatedError, ConnectionError):
+        return
--- /dev/null
+++ b/packages/daemon/peridot_daemon/status.py
@@ -0,0 +1,156 @@
+"""Status of a data centre, written by its placer at a bounded rate."""
+
+import asyncio
+from dataclasses import asdict, dataclass
+from datetime import UTC, datetime
+
+import orjson
+
+from peridot_daemon.replica import Replica
+from peridot_placement.clock import boot_time
+from peridot_placement.keeper import TermKeeper
+from peridot_placement.placer import Placer
+from peridot_platform.objects import ObjectStore
+from peridot_resources.catalog import Kind
+
+STATUS_PERIOD_S = 1.0
+# An unchanged status is written again after this long, as a sign of life.
+REFRESH_S = 15.0
+
+
+@dataclass(frozen=True)
+class Condition:
+    """Tell whether something holds, why, and since when."""
+
+    type: str
+    holds: bool
+    reason: str
+    since: str
+
+
+@dataclass(frozen=True)
+class TargetStatus:
+    """Describe a target as the placer sees it."""
+
+    state: str
+    owned_slices: int
+    moving_slices: int
+
+
+@dataclass(frozen=True)
+class DataCentreStatus:
+    """Describe a data centre."""
+
+    data_centre: str
+    term: int
+    placer: str
+    accepted_revision: int
+    revision_in_force: int
+    vm_revisions: dict[str, int]
+    targets: dict[str, TargetStatus]
+    conditions: list[Condition]
+    replica_age_s: float
+
+
+class StatusWriter:
+    """Write the status object while this VM is the placer."""
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        keeper: TermKeeper,
+        replica: Replica,
+        data_centre: str,
+    ) -> None:
+        self.store = store
+        self.keeper = keeper
+        self.replica = replica
+        self.data_centre = data_centre
+        self.last_value = b""
+        self.written_at = float("-inf")
+        self.since: dict[tuple[str, bool, str], str] = {}
+
+    async def run(self) -> None:
+        """Write changes at a bounded rate until cancelled."""
+        while True:
+            await asyncio.sleep(STATUS_PERIOD_S)
+            placer = self.keeper.placer
+            if placer is None or not placer.ready:
+                self.last_value = b""
+                continue
+            value = orjson.dumps(asdict(self.describe(placer)))
+            now = boot_time()
+            if value == self.last_value and now - self.written_at < REFRESH_S:
+                continue
+            self.last_value = value
+            self.written_at = now
+            await self.store.write(Kind.STATUS, self.data_centre, value, None)
+
+    def describe(self, placer: Placer) -> DataCentreStatus:
+        """Return the status as the placer sees it now."""
+        revisions = {
+            entry.holder.vm: entry.config_revision
+            for entry in placer.ledger.entries.values()
+            if not entry.leaving
+        }
+        accepted = self.replica.catalog.revision
+        in_force = min(revisions.values(), default=0)
+        return DataCentreStatus(
+            self.data_centre,
+            placer.held.record.number,
+            self.keeper.me.vm,
+            accepted,
+            in_force,
+            dict(sorted(revisions.items())),
+            self._targets(placer),
+            self._conditions(placer, accepted, in_force),
+            round(self.replica.age_s / STATUS_PERIOD_S / 5) * 5.0,
+        )
+
+    def _targets(self, placer: Placer) -> dict[str, TargetStatus]:
+        owned: dict[str, int] = {}
+        moving: dict[str, int] = {}
+        for state in placer.states.values():
+            for item in state.assignment.table:
+                if item.owner is None:
+                    continue
+                counts = owned if item.settled else moving
+                counts[item.owner] = counts.get(item.owner, 0) + 1
+        statuses = {}
+        for name, target in sorted(self.replica.catalog.targets.items()):
+            if target.data_centre != self.data_centre:
+                continue
+            state = "leaving" if target.leaving else "live"
+            if name in placer.known_lost:
+                state = "lost"
+            statuses[name] = TargetStatus(
+                state, owned.get(name, 0), moving.get(name, 0)
+            )
+        return statuses
+
+    def _conditions(
+        self, placer: Placer, accepted: int, in_force: int
+    ) -> list[Condition]:
+        invalid = sorted(
+            f"{kind}/{name}" for kind, name in self.replica.invalid_objects
+        )
+        behind = f"lowest {in_force} of {accepted}"
+        return [
+            self._condition("InForce", in_force >= accepted, behind),
+            self._condition("ObjectsValid", not invalid, ",".join(invalid) or "all"),
+            self._condition(
+                "StoreReachable", placer.store_available, "last assignment write"
+            ),
+            self._condition(
+                "TargetsLive",
+                not placer.known_lost,
+                ",".join(sorted(placer.known_lost)),
+            ),
+        ]
+
+    def _condition(self, kind: str, holds: bool, reason: str) -> Condition:
+        key = (kind, holds, reason)
+        if key not in self.since:
+            self.since = {k: v for k, v in self.since.items() if k[0] != kind}
+            self.since[key] = datetime.now(UTC).isoformat(timespec="seconds")
+        return Condition(kind, holds, reason, self.since[key])
--- /dev/null
+++ b/packages/fakes/peridot_fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Development stand-ins for the platform and for targets."""
--- /dev/null
+++ b/packages/fakes/peridot_fakes/fleet.py
@@ -0,0 +1,324 @@
+"""Launcher for development: starts the stand-ins and daemons as processes."""
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+import tempfile
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import orjson
+from aiohttp import ClientError, ClientSession
+
+from peridot_ctl import porcelain
+from peridot_platform.http_objects import HttpObjectStore
+from peridot_platform.vms import VmRecord, VmState
+from peridot_resources.manifests import read_manifests
+from peridot_resources.models import TargetManifest
+
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 20.0
+POLL_S = 0.05
+
+
+def free_ports(count: int) -> list[int]:
+    """Return loopback ports that nobody listens on."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for item in sockets:
+            item.bind(("127.0.0.1", 0))
+        return [item.getsockname()[1] for item in sockets]
+    finally:
+        for item in sockets:
+            item.close()
+
+
+@dataclass
+class DaemonProcess:
+    """Hold one daemon and where it listens."""
+
+    vm: str
+    data_centre: str
+    caller_port: int
+    peer_port: int
+    admin_port: int
+    log_file: Path
+    process: asyncio.subprocess.Process | None = None
+
+    @property
+    def url(self) -> str:
+        """Return where callers send requests."""
+        return f"http://127.0.0.1:{self.caller_port}"
+
+    @property
+    def admin_url(self) -> str:
+        """Return where operators look."""
+        return f"http://127.0.0.1:{self.admin_port}"
+
+    def record(self, state: VmState = VmState.LIVE) -> VmRecord:
+        """Return the entry of the VM list."""
+        address = f"127.0.0.1:{self.peer_port}"
+        return VmRecord(self.vm, self.data_centre, address, state)
+
+
+@dataclass
+class TargetProcess:
+    """Hold a process that serves one or more targets."""
+
+    names: tuple[str, ...]
+    words: tuple[str, ...]
+    ports: dict[str, int]
+    process: asyncio.subprocess.Process | None = None
+
+
+@dataclass
+class Fleet:
+    """Hold all processes of one trial."""
+
+    folder: Path
+    session: ClientSession
+    platform_port: int
+    service_ms: float = 2.0
+    log_sample: float = 1.0
+    platform: asyncio.subprocess.Process | None = None
+    daemons: dict[str, DaemonProcess] = field(default_factory=dict)
+    targets: list[TargetProcess] = field(default_factory=list)
+
+    @property
+    def platform_url(self) -> str:
+        """Return where the platform listens."""
+        return f"http://127.0.0.1:{self.platform_port}"
+
+    @property
+    def store(self) -> HttpObjectStore:
+        """Return a client of the object API."""
+        return HttpObjectStore(self.session, self.platform_url)
+
+    async def start_platform(self) -> None:
+        """Start the platform and wait until it answers."""
+        self.platform = await self._spawn(
+            "peridot_fakes.platform", f"--port={self.platform_port}"
+        )
+        await self._wait_for(f"{self.platform_url}/-/counts")
+
+    async def apply(self, *files: Path) -> None:
+        """Store manifests as an operator would."""
+        await porcelain.apply(self.store, files)
+
+    async def start_targets(self, files: list[Path], apart: bool = False) -> None:
+        """Start the targets of manifests: a process for each data centre, or each."""
+        groups: dict[str, list[TargetManifest]] = {}
+        for manifest in read_manifests(files):
+            if isinstance(manifest, TargetManifest):
+                group = manifest.name if apart else manifest.spec.data_centre
+                groups.setdefault(group, []).append(manifest)
+        started = [await self._start_group(group) for group in groups.values()]
+        for target in started:
+            for port in target.ports.values():
+                await self._wait_for(f"http://127.0.0.1:{port}/-/health")
+
+    async def start_daemons(self, data_centres: dict[str, int]) -> None:
+        """Start some daemons in each data centre and wait until they're ready."""
+        for data_centre, count in data_centres.items():
+            for number in range(1, count + 1):
+                self.add_daemon(f"{data_centre}-{number}", data_centre)
+        await self.publish_vms()
+        for daemon in self.daemons.values():
+            await self.start_daemon(daemon)
+        await self.wait_ready()
+
+    def add_daemon(self, vm: str, data_centre: str) -> DaemonProcess:
+        """Choose ports for a daemon."""
+        log_file = self.folder / f"{vm}.log"
+        daemon = DaemonProcess(vm, data_centre, *free_ports(3), log_file)
+        self.daemons[vm] = daemon
+        return daemon
+
+    async def start_daemon(self, daemon: DaemonProcess) -> None:
+        """Start a daemon's process."""
+        settings = {
+            "vm": daemon.vm,
+            "data_centre": daemon.data_centre,
+            "caller_listener": f"127.0.0.1:{daemon.caller_port}",
+            "peer_listener": f"127.0.0.1:{daemon.peer_port}",
+            "admin_listener": f"127.0.0.1:{daemon.admin_port}",
+            "object_api": self.platform_url,
+            "vm_list": self.platform_url,
+            "log_sample": self.log_sample,
+            "insecure_peers": True,
+        }
+        file = self.folder / f"{daemon.vm}.jsonc"
+        file.write_bytes(orjson.dumps(settings))
+        with daemon.log_file.open("ab") as log:
+            daemon.process = await self._spawn(
+                "peridot_daemon.main", f"--settings={file}", stderr=log
+            )
+
+    async def wait_ready(self) -> None:
+        """Wait until every running daemon takes callers."""
+        for daemon in self.daemons.values():
+            if daemon.process is not None:
+                await self._wait_for(f"{daemon.admin_url}/readyz")
+
+    async def wait_assigned(self, service: str) -> None:
+        """Wait until every slice of a service has an owner."""
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while not await self._is_assigned(service):
+                await asyncio.sleep(POLL_S)
+
+    async def publish_vms(self) -> None:
+        """Set the platform's VM list to the daemons known here."""
+        vms = [daemon.record() for daemon in self.daemons.values()]
+        async with self.session.put(
+            f"{self.platform_url}/-/vms", data=orjson.dumps(vms)
+        ) as answer:
+            await answer.read()
+
+    async def set_platform_faults(self, **faults: object) -> None:
+        """Switch the platform's faults."""
+        await self._post(f"{self.platform_url}/-/faults", faults)
+
+    async def set_target_faults(self, name: str, **faults: object) -> None:
+        """Switch a target's faults."""
+        target = self.target(name)
+        await self._post(f"http://127.0.0.1:{target.ports[name]}/-/faults", faults)
+
+    def target(self, name: str) -> TargetProcess:
+        """Return the process that serves a target."""
+        return next(item for item in self.targets if name in item.names)
+
+    async def journals(self) -> list[dict]:
+        """Return the journals of all targets that run."""
+        found = []
+        for target in self.targets:
+            if target.process is None or target.process.returncode is not None:
+                continue
+            for port in target.ports.values():
+                url = f"http://127.0.0.1:{port}/-/journal"
+                async with self.session.get(url) as answer:
+                    found.append(orjson.loads(await answer.read()))
+        return found
+
+    async def counts(self) -> dict:
+        """Return the platform's counts of calls."""
+        async with self.session.get(f"{self.platform_url}/-/counts") as answer:
+            return orjson.loads(await answer.read())
+
+    async def state(self, daemon: DaemonProcess) -> dict:
+        """Return what a daemon says of itself."""
+        async with self.session.get(f"{daemon.admin_url}/state") as answer:
+            return orjson.loads(await answer.read())
+
+    async def placer_of(self, data_centre: str) -> DaemonProcess | None:
+        """Return the daemon that holds a data centre's term."""
+        for daemon in self.daemons.values():
+            if daemon.data_centre != data_centre or not is_running(daemon.process):
+                continue
+            if (await self.state(daemon))["holds_term"]:
+                return daemon
+        return None
+
+    async def close(self) -> None:
+        """Stop all processes, gracefully at first."""
+        processes = [daemon.process for daemon in self.daemons.values()]
+        processes += [target.process for target in self.targets]
+        processes.append(self.platform)
+        for group in (processes[: len(self.daemons)], processes[len(self.daemons) :]):
+            await asyncio.gather(*(stop_process(item) for item in group))
+
+    async def _start_group(self, group: list[TargetManifest]) -> TargetProcess:
+        words = []
+        ports = {}
+        for manifest in group:
+            port = int(manifest.spec.address.rsplit(":", 1)[1])
+            ports[manifest.name] = port
+            grants = int(manifest.spec.checks_grants)
+            words.append(f"{manifest.name}:{port}:{manifest.spec.slots}:{grants}")
+        target = TargetProcess(tuple(ports), tuple(words), ports)
+        self.targets.append(target)
+        await self.start_target(target)
+        return target
+
+    async def start_target(self, target: TargetProcess) -> None:
+        """Start a process that serves targets."""
+        target.process = await self._spawn(
+            "peridot_fakes.target",
+            f"--targets={','.join(target.words)}",
+            f"--service_ms={self.service_ms}",
+        )
+
+    async def _is_assigned(self, service: str) -> bool:
+        listing = await porcelain.get(self.store, ("Assignment",), None)
+        homes = await porcelain.get(self.store, ("Home",), service)
+        if not isinstance(listing, list) or not homes:
+            return False
+        wanted = set(orjson.loads(homes[0].value)["dataCentres"])
+        for item in listing:
+            form = orjson.loads(item.value)
+            if form["service"] != service:
+                continue
+            if any(number != -1 for number in form["nextOwners"]):
+                return False
+            wanted.discard(form["dataCentre"])
+        return not wanted
+
+    async def _post(self, url: str, form: dict) -> None:
+        async with self.session.post(url, data=orjson.dumps(form)) as answer:
+            await answer.read()
+
+    async def _spawn(self, module: str, *arguments: str, stderr=None):
+        return await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            module,
+            *arguments,
+            stderr=stderr,
+            env={**os.environ, "PYTHONDONTWRITEBYTECODE": "1"},
+        )
+
+    async def _wait_for(self, url: str) -> None:
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while True:
+                try:
+                    async with self.session.get(url) as answer:
+                        if answer.status == 200:
+                            return
+                except (ClientError, OSError):
+                    pass
+                await asyncio.sleep(POLL_S)
+
+
+@asynccontextmanager
+async def open_fleet(**options) -> AsyncIterator[Fleet]:
+    """Hold a fleet whose processes end with the context."""
+    (platform_port,) = free_ports(1)
+    with tempfile.TemporaryDirectory() as folder:
+        async with ClientSession() as session:
+            fleet = Fleet(Path(folder), session, platform_port, **options)
+            try:
+                yield fleet
+            finally:
+                await fleet.close()
+
+
+def is_running(process: asyncio.subprocess.Process | None) -> bool:
+    """Tell whether a process has been started and not ended."""
+    return process is not None and process.returncode is None
+
+
+async def stop_process(process: asyncio.subprocess.Process | None) -> None:
+    """End a process gracefully, or by force if it takes too long."""
+    if not is_running(process):
+        return
+    process.send_signal(signal.SIGCONT)
+    process.terminate()
+    try:
+        async with asyncio.timeout(STOP_TIMEOUT_S):
+            await process.wait()
+    except TimeoutError:
+        process.kill()
+        await process.wait()
--- /dev/null
+++ b/packages/placement/peridot_placement/__init__.py
@@ -0,0 +1,1 @@
+"""Ownership of slices: tables, terms, permits and grants."""
--- /dev/null
+++ b/packages/placement/peridot_placement/splits.py
@@ -0,0 +1,52 @@
+"""Splits of hot slices, so that their load can be spread."""
+
+from collections.abc import Mapping
+
+from peridot_placement.slices import SliceTable
+
+# A slice hotter than this share of a target's mean load is split.
+HOT_SHARE = 0.25
+# A key hotter than this share of a target's mean load gets its own slice.
+HOT_KEY_SHARE = 0.1
+MAX_SPLITS = 64
+MAX_SLICES = 20_000
+
+
+def split_hot_slices(
+    table: SliceTable,
+    loads: Mapping[int, float],
+    hot_keys: Mapping[int, float],
+    targets: int,
+) -> int:
+    """Split hot slices in place and return the number of cuts."""
+    if not targets:
+        return 0
+    mean = sum(loads.values()) / targets
+    cuts = _cuts_around_keys(table, hot_keys, mean * HOT_KEY_SHARE)
+    for index, load in loads.items():
+        found = table.range_at(index)
+        if load > mean * HOT_SHARE and found.end - found.start > 1:
+            cuts.append((load, (found.start + found.end) // 2))
+    cuts.sort(reverse=True)
+    done = 0
+    for _, at in cuts[:MAX_SPLITS]:
+        index = table.find(at)
+        if len(table) >= MAX_SLICES or table.slice_at(index).next_owner is not None:
+            continue
+        if table.starts[index] != at:
+            table.split(at)
+            done += 1
+    return done
+
+
+def _cuts_around_keys(
+    table: SliceTable, hot_keys: Mapping[int, float], threshold: float
+) -> list[tuple[float, int]]:
+    cuts = []
+    for key_hash, rate in hot_keys.items():
+        if rate <= threshold:
+            continue
+        cuts.append((rate, key_hash))
+        if key_hash + 1 < table.range_at(table.find(key_hash)).end:
+            cuts.append((rate, key_hash + 1))
+    return cuts
--- /dev/null
+++ b/packages/platform/peridot_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Access to the platform: object API and VM list."""
--- /dev/null
+++ b/packages/platform/peridot_platform/objects.py
@@ -0,0 +1,160 @@
+"""Object API: an abstract store and its in-memory kind."""
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections import deque
+from collections.abc import Collection
+
+from peridot_platform.outcomes import (
+    Change,
+    Conflict,
+    DeletedObject,
+    Listing,
+    ListOutcome,
+    Missing,
+    ReadOutcome,
+    Rejected,
+    RevisionTooOld,
+    StoredObject,
+    StoreUnavailable,
+    WatchBatch,
+    WatchOutcome,
+    WriteOutcome,
+    WriteUnknown,
+    Written,
+)
+
+MAX_VALUE_BYTES = 1_000_000
+HISTORY_LENGTH = 10_000
+
+
+class ObjectStore(ABC):
+    """Store versioned objects with conditional updates and watches."""
+
+    @abstractmethod
+    async def list(self, kinds: Collection[str]) -> ListOutcome:
+        """Return all objects of some kinds."""
+
+    @abstractmethod
+    async def read(self, kind: str, name: str) -> ReadOutcome:
+        """Return one object."""
+
+    @abstractmethod
+    async def write(
+        self, kind: str, name: str, value: bytes, expected: int | None
+    ) -> WriteOutcome:
+        """Store a value if the expected version stands; 0 is none, None any."""
+
+    @abstractmethod
+    async def delete(self, kind: str, name: str, expected: int | None) -> WriteOutcome:
+        """Remove an object if the expected version stands; None is any."""
+
+    @abstractmethod
+    async def watch(
+        self, kinds: Collection[str], since: int, timeout_s: float
+    ) -> WatchOutcome:
+        """Wait for changes after a revision; an empty batch on timeout."""
+
+
+class MemoryObjectStore(ObjectStore):
+    """Keep objects in memory and fail on demand."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.objects: dict[tuple[str, str], StoredObject] = {}
+        self.history: deque[Change] = deque(maxlen=HISTORY_LENGTH)
+        self.changed = asyncio.Condition()
+        self.reads = 0
+        self.writes = 0
+        self.outage = False
+        self.delay_s = 0.0
+        self.lose_answers = 0
+
+    async def list(self, kinds: Collection[str]) -> ListOutcome:
+        self.reads += 1
+        if not await self._reach():
+            return StoreUnavailable("outage")
+        found = (item for (kind, _), item in self.objects.items() if kind in kinds)
+        return Listing(self.revision, tuple(found))
+
+    async def read(self, kind: str, name: str) -> ReadOutcome:
+        self.reads += 1
+        if not await self._reach():
+            return StoreUnavailable("outage")
+        return self.objects.get((kind, name), Missing())
+
+    async def write(
+        self, kind: str, name: str, value: bytes, expected: int | None
+    ) -> WriteOutcome:
+        self.writes += 1
+        if not await self._reach():
+            return StoreUnavailable("outage")
+        if len(value) > MAX_VALUE_BYTES:
+            return Rejected(f"value has {len(value)} bytes, over {MAX_VALUE_BYTES}")
+        current = self._version(kind, name)
+        if expected is not None and expected != current:
+            return Conflict(current)
+        self.revision += 1
+        stored = StoredObject(kind, name, self.revision, value)
+        self.objects[kind, name] = stored
+        return await self._record(stored)
+
+    async def delete(self, kind: str, name: str, expected: int | None) -> WriteOutcome:
+        self.writes += 1
+        if not await self._reach():
+            return StoreUnavailable("outage")
+        current = self._version(kind, name)
+        if current == 0 or (expected is not None and expected != current):
+            return Conflict(current)
+        self.revision += 1
+        del self.objects[kind, name]
+        return await self._record(DeletedObject(kind, name, self.revision))
+
+    async def watch(
+        self, kinds: Collection[str], since: int, timeout_s: float
+    ) -> WatchOutcome:
+        self.reads += 1
+        if not await self._reach():
+            return StoreUnavailable("outage")
+        if self.history and since < self.history[0].version - 1:
+            return RevisionTooOld()
+
+        def changes() -> tuple[Change, ...]:
+            return tuple(
+                change
+                for change in self.history
+                if change.version > since and change.kind in kinds
+            )
+
+        try:
+            async with asyncio.timeout(timeout_s), self.changed:
+                await self.changed.wait_for(lambda: changes() or self.outage)
+        except TimeoutError:
+            pass
+        if self.outage:
+            return StoreUnavailable("outage")
+        return WatchBatch(self.revision, changes())
+
+    async def set_outage(self, outage: bool) -> None:
+        """Start or end an outage; waiting watches fail at its start."""
+        self.outage = outage
+        async with self.changed:
+            self.changed.notify_all()
+
+    def _version(self, kind: str, name: str) -> int:
+        current = self.objects.get((kind, name))
+        return current.version if current else 0
+
+    async def _reach(self) -> bool:
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
+        return not self.outage
+
+    async def _record(self, change: Change) -> WriteOutcome:
+        self.history.append(change)
+        async with self.changed:
+            self.changed.notify_all()
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            return WriteUnknown("answer lost")
+        return Written(change.version)
--- /dev/null
+++ b/packages/resources/peridot_resources/__init__.py
@@ -0,0 +1,1 @@
+"""Resources that operators declare: models, manifests and parsed forms."""
--- /dev/null
+++ b/packages/resources/peridot_resources/manifests.py
@@ -0,0 +1,130 @@
+"""Read manifests in JSON with comments and check them as a set."""
+
+import re
+from collections.abc import Callable, Iterable
+from pathlib import Path as FilePath
+
+import pyjson5
+from pydantic import ValidationError
+
+from peridot_resources.errors import InvalidManifests, ManifestError
+from peridot_resources.models import (
+    MANIFEST_MODELS,
+    Manifest,
+    ServiceManifest,
+    TargetManifest,
+)
+from peridot_resources.positions import Path, find_lines, nearest_line
+
+MAX_VALUE_BYTES = 1_000_000
+
+
+def read_manifests(files: Iterable[FilePath]) -> list[Manifest]:
+    """Return the checked manifests of all files; raise InvalidManifests."""
+    manifests: list[Manifest] = []
+    errors: list[ManifestError] = []
+    for file in files:
+        try:
+            text = file.read_text()
+        except (OSError, UnicodeDecodeError) as error:
+            errors.append(ManifestError(str(file), 1, "file", str(error)))
+            continue
+        found, wrong = parse_manifests(text, str(file))
+        manifests.extend(found)
+        errors.extend(wrong)
+    errors.extend(check_duplicates(manifests))
+    if errors:
+        raise InvalidManifests(errors)
+    return manifests
+
+
+def parse_manifests(text: str, file: str) -> tuple[list[Manifest], list[ManifestError]]:
+    """Return the manifests in a text and what is wrong with the others."""
+    try:
+        document = pyjson5.decode(text)
+    except pyjson5.Json5Exception as error:
+        line = _line_of_syntax_error(text, str(error))
+        return [], [ManifestError(file, line, "syntax", str(error))]
+    lines = find_lines(text)
+    if isinstance(document, list):
+        items = [((index,), item) for index, item in enumerate(document)]
+    else:
+        items = [((), document)]
+    manifests: list[Manifest] = []
+    errors: list[ManifestError] = []
+    for path, item in items:
+        parsed = _parse_manifest(item, file, path, lines)
+        if isinstance(parsed, list):
+            errors.extend(parsed)
+        else:
+            manifests.append(parsed)
+    return manifests, errors
+
+
+def check_duplicates(manifests: Iterable[Manifest]) -> list[ManifestError]:
+    """Return an error for each kind and name that stands more than once."""
+    seen: set[tuple[str, str]] = set()
+    errors = []
+    for manifest in manifests:
+        identity = (manifest.kind, manifest.name)
+        if identity in seen:
+            where = f"{manifest.kind}/{manifest.name}"
+            errors.append(ManifestError("-", 1, where, "is declared twice"))
+        seen.add(identity)
+    return errors
+
+
+def check_references(
+    manifests: Iterable[Manifest], exists: Callable[[str, str], bool]
+) -> list[ManifestError]:
+    """Return an error for each reference to an object that doesn't exist."""
+    manifests = list(manifests)
+    declared = {(manifest.kind, manifest.name) for manifest in manifests}
+    errors = []
+    for manifest in manifests:
+        for field, kind, name in _references(manifest):
+            if (kind, name) in declared or exists(kind, name):
+                continue
+            where = f"{manifest.kind}/{manifest.name} {field}"
+            errors.append(ManifestError("-", 1, where, f"no {kind} named {name}"))
+    return errors
+
+
+def _references(manifest: Manifest) -> list[tuple[str, str, str]]:
+    if isinstance(manifest, ServiceManifest):
+        return [("spec.policy", "RoutingPolicy", manifest.spec.policy)]
+    if isinstance(manifest, TargetManifest):
+        return [("spec.service", "Service", manifest.spec.service)]
+    return []
+
+
+def _parse_manifest(
+    item: object, file: str, path: Path, lines: dict[Path, int]
+) -> Manifest | list[ManifestError]:
+    line = nearest_line(lines, path)
+    if not isinstance(item, dict):
+        return [ManifestError(file, line, "-", "a manifest must be an object")]
+    model = MANIFEST_MODELS.get(item.get("kind"))
+    if model is None:
+        line = nearest_line(lines, (*path, "kind"))
+        known = ", ".join(MANIFEST_MODELS)
+        return [ManifestError(file, line, "kind", f"must be one of {known}")]
+    try:
+        return model.model_validate(item)
+    except ValidationError as error:
+        return [
+            ManifestError(
+                file,
+                nearest_line(lines, (*path, *detail["loc"])),
+                ".".join(str(part) for part in detail["loc"]) or "-",
+                detail["msg"],
+            )
+            for detail in error.errors()
+        ]
+
+
+def _line_of_syntax_error(text: str, message: str) -> int:
+    position = re.search(r"near (\d+)", message)
+    if position is None:
+        return 1
+    return text.count("\n", 0, int(position.group(1))) + 1
--- /dev/null
+++ b/packages/routing/peridot_routing/__init__.py
@@ -0,0 +1,1 @@
+"""Requests: matching, attempts, limits and outcomes."""
--- /dev/null
+++ b/packages/routing/peridot_routing/fronts.py
@@ -0,0 +1,174 @@
+"""Fronts: hold the slots, queue and connections of targets."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field, replace
+from time import monotonic
+
+from peridot_placement.loads import LoadMeter
+from peridot_placement.permits import LocalTables
+from peridot_resources.catalog import Catalog, RoutingPolicy, Target
+from peridot_routing.attempts import TargetClient, open_client
+from peridot_routing.outcomes import Answered, NotRun, Outcome, Reason, Unknown
+from peridot_routing.requests import RoutedRequest
+from peridot_routing.slots import SlotQueue
+from peridot_routing.tracker import Flight, FlightTracker
+
+LATENCY_WEIGHT = 0.1
+FIRST_LATENCY_S = 0.005
+
+
+@dataclass
+class TargetFront:
+    """Hold what this VM keeps for one target."""
+
+    target: Target
+    queue: SlotQueue
+    client: TargetClient
+    latency_s: float = FIRST_LATENCY_S
+    running: set[asyncio.Task] = field(default_factory=set)
+
+    def update(self, target: Target, policy: RoutingPolicy) -> None:
+        """Take in a newer declaration."""
+        self.target = target
+        self.queue.slots = target.slots
+        self.queue.queue_length = policy.queue_length
+        self.queue.key_share = policy.key_share
+
+    def cost(self) -> float:
+        """Return how unattractive the target is for another request."""
+        waiting = self.queue.busy + len(self.queue.waiters) + 1
+        return waiting * self.latency_s / self.queue.slots
+
+
+class Fronts:
+    """Dispatch requests to targets under permits, slots and queues."""
+
+    def __init__(self, tables: LocalTables, catalog: Callable[[], Catalog]) -> None:
+        self.tables = tables
+        self.catalog = catalog
+        self.tracker = FlightTracker()
+        self.meters: dict[str, LoadMeter] = {}
+        self.fronts: dict[str, TargetFront] = {}
+        self.stack = AsyncExitStack()
+
+    @asynccontextmanager
+    async def run(self) -> AsyncIterator["Fronts"]:
+        """Hold the connections of all targets while the context lasts."""
+        async with self.stack:
+            yield self
+
+    async def dispatch(self, request: RoutedRequest, target_name: str) -> Outcome:
+        """Send a request to a target once it has a slot."""
+        front = await self._front(target_name, request.policy)
+        if front is None:
+            return NotRun(Reason.NO_TARGET, detail="no such target")
+        if front.target.leaving:
+            return NotRun(Reason.TARGET_REFUSED, detail="the target is leaving")
+        async with front.queue.slot(request) as refusal:
+            if refusal is not None:
+                return refusal
+            return await self._send(front, request)
+
+    def abandon(self, target_name: str) -> None:
+        """Break off all attempts at a target that is lost."""
+        front = self.fronts.get(target_name)
+        if front is not None:
+            for task in list(front.running):
+                task.cancel()
+
+    def cost_of(self, target_name: str) -> float:
+        """Return the cost of a target as seen from this VM."""
+        front = self.fronts.get(target_name)
+        return front.cost() if front else FIRST_LATENCY_S
+
+    async def _front(self, name: str, policy: RoutingPolicy) -> TargetFront | None:
+        target = self.catalog().targets.get(name)
+        if target is None:
+            return None
+        front = self.fronts.get(name)
+        if front is None:
+            client = await self.stack.enter_async_context(
+                open_client(target.connections)
+            )
+            queue = SlotQueue(target.slots, policy.queue_length, policy.key_share)
+            front = self.fronts.setdefault(name, TargetFront(target, queue, client))
+        if front.target != target:
+            front.update(target, policy)
+        return front
+
+    async def _send(self, front: TargetFront, request: RoutedRequest) -> Outcome:
+        if not request.service.divided_by_key:
+            return await self._attempt(front, request, lambda: None)
+        name = front.target.name
+
+        def check_rights() -> NotRun | None:
+            return self._check_rights(request, name)
+
+        refusal = check_rights()
+        if refusal is not None:
+            return refusal
+        self._meter(request)
+        tracked = self.tracker.track(request.service.name, request.key_hash, name)
+        with tracked as flight:
+            outcome = await self._attempt(front, request, check_rights, flight)
+        return outcome
+
+    def _check_rights(self, request: RoutedRequest, target: str) -> NotRun | None:
+        """Return a refusal unless this VM may send a key to a target now."""
+        if not self.tables.permit.is_live():
+            return NotRun(Reason.NO_PERMIT)
+        owner = self.tables.settled_owner(request.service.name, request.key_hash)
+        if owner is None:
+            return NotRun(Reason.SLICE_MOVING)
+        if owner != target:
+            return NotRun(Reason.NOT_OWNER)
+        return None
+
+    async def _attempt(
+        self,
+        front: TargetFront,
+        request: RoutedRequest,
+        guard: Callable[[], NotRun | None],
+        flight: Flight | None = None,
+    ) -> Outcome:
+        began = monotonic()
+        ends = began + request.attempt_s()
+        epoch = "{}.{}".format(*self.tables.epoch)
+        task = asyncio.ensure_future(
+            front.client.attempt(front.target, request, epoch, guard)
+        )
+        front.running.add(task)
+        outcome: Outcome = Unknown(Reason.CANCELLED)
+        try:
+            outcome = await task
+        except asyncio.CancelledError:
+            if asyncio.current_task().cancelling():
+                task.cancel()
+                raise
+            outcome = Unknown(Reason.TARGET_LOST, "the target was given up")
+        finally:
+            front.running.discard(task)
+            if flight is not None and isinstance(outcome, Unknown):
+                self._linger(flight, front.target, ends)
+        if isinstance(outcome, Answered):
+            took_s = monotonic() - began
+            front.latency_s += LATENCY_WEIGHT * (took_s - front.latency_s)
+        elif isinstance(outcome, NotRun):
+            outcome = replace(outcome, detail=outcome.detail or front.target.name)
+        return outcome
+
+    def _linger(self, flight: Flight, target: Target, ends: float) -> None:
+        """Count an attempt of unknown outcome until its deadline has passed.
+
+        Targets that check grants report what they still run themselves.
+        """
+        if not target.checks_grants:
+            flight.lingers_until = ends
+
+    def _meter(self, request: RoutedRequest) -> None:
+        assignment = self.tables.assignments[request.service.name]
+        table = assignment.table
+        meter = self.meters.setdefault(request.service.name, LoadMeter())
+        meter.add(table.starts[table.find(request.key_hash)], request.key_hash)
--- /dev/null
+++ b/packages/routing/peridot_routing/outcomes.py
@@ -0,0 +1,61 @@
+"""Outcomes of attempts and of whole requests."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class Reason(StrEnum):
+    """Name why a request was not run or why its outcome is unknown."""
+
+    BAD_REQUEST = "bad_request"
+    BODY_TOO_LARGE = "body_too_large"
+    CALLER_LIMIT = "caller_limit"
+    CANCELLED = "cancelled"
+    CONNECTION_LOST = "connection_lost"
+    CONNECTION_REFUSED = "connection_refused"
+    DEADLINE = "deadline"
+    FRONT_LOST = "front_lost"
+    MISSING_KEY = "missing_key"
+    NO_PERMIT = "no_permit"
+    NO_TARGET = "no_target"
+    NOT_READY = "not_ready"
+    NOT_OWNER = "not_owner"
+    OVERLOADED = "overloaded"
+    SHED = "shed"
+    SLICE_MOVING = "slice_moving"
+    STOPPING = "stopping"
+    TARGET_LOST = "target_lost"
+    TARGET_REFUSED = "target_refused"
+    TORN_ANSWER = "torn_answer"
+    ANSWER_TOO_LARGE = "answer_too_large"
+    UNKNOWN_SERVICE = "unknown_service"
+
+
+@dataclass(frozen=True)
+class Answered:
+    """Hold a target's whole answer."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    target: str = ""
+
+
+@dataclass(frozen=True)
+class NotRun:
+    """Tell that no part of the request reached an application."""
+
+    reason: Reason
+    retry_after_ms: int = 0
+    detail: str = ""
+
+
+@dataclass(frozen=True)
+class Unknown:
+    """Tell that the request may or may not have run."""
+
+    reason: Reason
+    detail: str = ""
+
+
+Outcome = Answered | NotRun | Unknown
--- /dev/null
+++ b/packages/routing/peridot_routing/watcher.py
@@ -0,0 +1,175 @@
+"""Watch the targets that this VM fronts: renew grants, notice losses."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from peridot_placement.clock import boot_time
+from peridot_placement.decisions import DecisionLog
+from peridot_placement.grants import (
+    GRANT_PERIOD_S,
+    GrantAccepted,
+    GrantFailed,
+    GrantOrder,
+    GrantOutcome,
+    GrantStale,
+    GrantState,
+    TargetControl,
+)
+from peridot_placement.ledger import BusyRange
+from peridot_placement.permits import LocalTables
+from peridot_placement.slices import HashRange
+from peridot_resources.catalog import Catalog, Target
+
+# A target without a sign of life for this long counts as lost.
+SILENCE_S = 0.45
+REFUSALS_UNTIL_LOST = 2
+FAILED_RETRY_S = 0.02
+# A lost target returns after this many signs of life in a row.
+SIGNS_UNTIL_BACK = 5
+
+
+@dataclass
+class TargetHealth:
+    """Hold what this VM has seen of a target lately."""
+
+    heard_at: float
+    refusals: int = 0
+    signs: int = 0
+    lost: bool = False
+
+
+@dataclass
+class TargetWatcher:
+    """Run one task for each target that this VM fronts."""
+
+    control: TargetControl
+    tables: LocalTables
+    catalog: Callable[[], Catalog]
+    is_front: Callable[[Target], bool]
+    abandon: Callable[[str], None]
+    forget_flights: Callable[[str], None]
+    on_change: Callable[[], None]
+    log: DecisionLog
+    health: dict[str, TargetHealth] = field(default_factory=dict)
+    grants: dict[str, GrantState] = field(default_factory=dict)
+    tasks: dict[str, asyncio.Task] = field(default_factory=dict)
+
+    def lost_targets(self) -> set[str]:
+        """Return the targets that this VM fronts and takes for lost."""
+        return {name for name, health in self.health.items() if health.lost}
+
+    def busy_ranges(self) -> list[BusyRange]:
+        """Return what targets may still serve against the current tables."""
+        now = boot_time()
+        busy = []
+        for name, state in self.grants.items():
+            target = self.catalog().targets.get(name)
+            service = target.service if target else ""
+            current = self._ranges(service, name)
+            for item in state.leftover(current, now):
+                busy.append(BusyRange(service, item))
+        return busy
+
+    async def run(self, data_centre: str) -> None:
+        """Keep a task for each target of the data centre until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            while True:
+                wanted = {
+                    target.name
+                    for target in self.catalog().targets.values()
+                    if target.data_centre == data_centre and self.is_front(target)
+                }
+                for name in wanted - self.tasks.keys():
+                    self.tasks[name] = group.create_task(self._watch(name))
+                for name in self.tasks.keys() - wanted:
+                    self.tasks.pop(name).cancel()
+                    self.health.pop(name, None)
+                await asyncio.sleep(GRANT_PERIOD_S / 2)
+
+    async def _watch(self, name: str) -> None:
+        health = self.health.setdefault(name, TargetHealth(boot_time()))
+        while True:
+            target = self.catalog().targets.get(name)
+            if target is None:
+                return
+            changed = self.tables.changed
+            outcome = await self._visit(target)
+            self._judge(target, health, outcome)
+            try:
+                async with asyncio.timeout(self._pause_s(health, outcome)):
+                    await changed.wait()
+            except TimeoutError:
+                pass
+
+    def _pause_s(self, health: TargetHealth, outcome: GrantOutcome) -> float:
+        """Return when to visit next: soon if one more failure settles it."""
+        if isinstance(outcome, GrantFailed) and not health.lost:
+            return FAILED_RETRY_S
+        return GRANT_PERIOD_S
+
+    async def _visit(self, target: Target) -> GrantOutcome:
+        """Renew a target's grant, or probe one that takes none."""
+        service = self.catalog().services.get(target.service)
+        divided = service is not None and service.divided_by_key
+        if divided and target.checks_grants and self.tables.permit.is_live():
+            return await self._renew(target)
+        return await self.control.probe(target.address)
+
+    async def _renew(self, target: Target) -> GrantOutcome:
+        state = self.grants.setdefault(target.name, GrantState())
+        if state.clock_ms is None:
+            outcome = await self.control.probe(target.address)
+            if isinstance(outcome, GrantAccepted):
+                state.clock_ms = outcome.clock_ms
+                state.clock_read_at = boot_time()
+        ranges = self._ranges(target.service, target.name)
+        expires_clock_ms, lapses_at = state.expiry(self.tables.permit.valid_until)
+        order = GrantOrder(target.service, self.tables.epoch, ranges, expires_clock_ms)
+        if lapses_at > boot_time():
+            state.note_sent(ranges, lapses_at)
+        outcome = await self.control.grant(target.address, order)
+        match outcome:
+            case GrantAccepted():
+                before = (state.ranges, state.running_outside)
+                state.note_accepted(order, outcome)
+                if before != (state.ranges, state.running_outside):
+                    self.on_change()
+            case GrantStale(epoch):
+                self.log.write("grant_stale", target=target.name, epoch=epoch)
+            case GrantFailed() if outcome.refused:
+                state.clock_ms = None
+        return outcome
+
+    def _judge(
+        self, target: Target, health: TargetHealth, outcome: GrantOutcome
+    ) -> None:
+        """Update a target's health and act when it is lost or back."""
+        now = boot_time()
+        if isinstance(outcome, GrantFailed):
+            health.signs = 0
+            health.refusals = health.refusals + 1 if outcome.refused else 0
+            refused = health.refusals >= REFUSALS_UNTIL_LOST
+            if not health.lost and (refused or now - health.heard_at > SILENCE_S):
+                self._lose(target, health, outcome)
+            return
+        health.heard_at = now
+        health.refusals = 0
+        health.signs += 1
+        if health.lost and health.signs >= SIGNS_UNTIL_BACK:
+            health.lost = False
+            self.log.write("target_back", target=target.name)
+            self.on_change()
+
+    def _lose(self, target: Target, health: TargetHealth, outcome: GrantFailed) -> None:
+        health.lost = True
+        self.log.write("target_silent", target=target.name, reason=outcome.reason)
+        if outcome.refused:
+            self.forget_flights(target.name)
+        if outcome.refused or target.checks_grants:
+            self.abandon(target.name)
+        self.on_change()
+
+    def _ranges(self, service: str, target: str) -> tuple[HashRange, ...]:
+        assignment = self.tables.assignments.get(service)
+        return assignment.table.ranges_owned_by(target) if assignment else ()
--- /dev/null
+++ b/packages/wire/peridot_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and stubs of the protocol between daemons."""
