Correct stale routes at the receiving daemon and follow only real readers

A daemon could also follow a peer that itself followed another. Change: the receiving daemon's own tables decide who owns the key; a peer says whether it watches the store, and only then is followed. Ports for trials lie below the kernel's range, since a taken port had kept a daemon from starting.

--- a/packages/daemon/peridot_daemon/links.py
+++ b/packages/daemon/peridot_daemon/links.py
@@ -6,7 +6,7 @@
 from itertools import count
 
 from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from peridot_daemon.messages import InvalidMessage, parse_outcome, serialize_request
 from peridot_daemon.settings import split_address
@@ -25,6 +25,7 @@
 LATE_MARGIN_S = 0.1
 LINK_ERRORS = (
     GRPCError,
+    ProtocolError,
     StreamTerminatedError,
     ConnectionError,
     TimeoutError,
--- a/packages/daemon/peridot_daemon/peers.py
+++ b/packages/daemon/peridot_daemon/peers.py
@@ -73,6 +73,7 @@
             changed = self.replica.changed
             update = pb.SyncUpdate(
                 revision=self.replica.revision,
+                from_store=self.replica.from_store,
                 age_ms=min(MAX_AGE_MS, int(min(self.replica.age_s, 1e6) * 1000)),
             )
             for change in self.replica.changes_since(known):
--- a/packages/daemon/peridot_daemon/replica.py
+++ b/packages/daemon/peridot_daemon/replica.py
@@ -41,6 +41,7 @@
     homes: dict[str, HomeTable] = field(default_factory=dict)
     assignments: dict[str, Assignment] = field(default_factory=dict)
     vms: tuple[VmRecord, ...] = ()
+    from_store: bool = False
     confirmed_at: float = float("-inf")
     reverts_refused: int = 0
     invalid_objects: set[tuple[str, str]] = field(default_factory=set)
--- a/packages/daemon/peridot_daemon/sources.py
+++ b/packages/daemon/peridot_daemon/sources.py
@@ -47,7 +47,7 @@
         self.known_vms = known_vms
         self.tls = tls
         self.log = log
-        self.is_reader = False
+        self.current = ""
 
     def readers(self) -> list[Vm]:
         """Return the VMs that watch the store for this data centre."""
@@ -73,8 +73,7 @@
         if not readers:
             await self._read_vm_list()
             readers = self.readers()
-        self.is_reader = not readers or self.me in readers
-        if self.is_reader:
+        if not readers or self.me in readers:
             await self._watch_store()
             return
         for reader in readers:
@@ -83,16 +82,18 @@
         for address in self.peers:
             if await self._sync(address):
                 return
-        self.is_reader = True
         await self._watch_store()
 
     async def _watch_store(self) -> None:
         """Watch the store until it fails or this VM is no reader any more."""
+        self._note_source("store")
         async with asyncio.TaskGroup() as group:
             refresher = group.create_task(self._refresh_vm_list())
+            self.replica.from_store = True
             try:
                 await self._watch_objects()
             finally:
+                self.replica.from_store = False
                 refresher.cancel()
 
     async def _watch_objects(self) -> None:
@@ -125,7 +126,7 @@
             self.replica.take_vms(listing.vms)
 
     async def _sync(self, address: str) -> bool:
-        """Follow one peer until it fails; tell whether it sent anything."""
+        """Follow one peer while it watches the store; tell whether it did."""
         heard = False
         try:
             async with open_channel(address, self.tls) as stub:
@@ -139,13 +140,21 @@
                             update = await stream.recv_message()
                         if update is None:
                             return heard
-                        heard = True
                         self._take(update)
+                        if not update.from_store:
+                            return heard
+                        heard = True
+                        self._note_source(address)
                         if self.me in self.readers():
                             return heard
         except LINK_ERRORS:
             return heard
 
+    def _note_source(self, source: str) -> None:
+        if source != self.current:
+            self.current = source
+            self.log.write("source", source=source, revision=self.replica.revision)
+
     def _take(self, update: pb.SyncUpdate) -> None:
         changes = [parse_change(change) for change in update.changes]
         self.replica.take(update.revision, changes, update.age_ms / 1000)
--- a/packages/fakes/peridot_fakes/fleet.py
+++ b/packages/fakes/peridot_fakes/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import random
 import signal
 import socket
 import sys
@@ -23,18 +24,29 @@
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 20.0
 POLL_S = 0.05
+PORT_RANGE = (23_000, 32_000)
 
 
 def free_ports(count: int) -> list[int]:
-    """Return loopback ports that nobody listens on."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind(("127.0.0.1", 0))
-        return [item.getsockname()[1] for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
+    """Return loopback ports that nobody uses.
+
+    They lie below the range from which the kernel takes ports for connections.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = random.randrange(*PORT_RANGE)
+        if port not in found and _is_free(port):
+            found.append(port)
+    return found
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 @dataclass
--- a/packages/placement/peridot_placement/loads.py
+++ b/packages/placement/peridot_placement/loads.py
@@ -14,6 +14,8 @@
 REPORT_LIFE_S = 3.0
 # Idle slices count as this share of the whole load, by their width.
 BASE_SHARE = 0.02
+# Below this load (1/s), differences between slices are noise.
+MIN_BASE = 20.0
 
 
 @dataclass
@@ -123,7 +125,7 @@
                 if index in loads:
                     loads[index] += rate
                     total += rate
-        self._add_base(loads, table, max(1.0, total * BASE_SHARE))
+        self._add_base(loads, table, max(MIN_BASE, total * BASE_SHARE))
         return loads
 
     def hot_keys(self, service: str, now: float) -> dict[int, float]:
--- a/packages/routing/peridot_routing/router.py
+++ b/packages/routing/peridot_routing/router.py
@@ -117,6 +117,7 @@
         self.rankings: dict[tuple[str, str, int], list[Vm]] = {}
         self.attempts = 0
         self.retries = 0
+        self.corrected_routes = 0
 
     async def handle(self, request: RoutedRequest) -> Outcome:
         """Return the final outcome of a request."""
@@ -137,11 +138,15 @@
             await self._pause(request, last)
 
     async def serve_forwarded(self, request: RoutedRequest, target: str) -> Outcome:
-        """Dispatch a request that another daemon has passed on."""
-        if not target:
+        """Dispatch a request whose target another daemon may have chosen.
+
+        That daemon may be behind, so this VM's tables decide who owns the key.
+        """
+        if request.service.divided_by_key:
             owner = self.tables.settled_owner(request.service.name, request.key_hash)
             if owner is None:
                 return NotRun(Reason.SLICE_MOVING)
+            self.corrected_routes += owner != target
             target = owner
         return await self.fronts.dispatch(request, target)
 
