Leave streams by cancelling them, and test the parts of the path

Cause: a daemon that left a stream of the inner protocol waited for its peer to end it, since the library finishes a stream by reading its trailer; the replica of one daemon stayed 20 s old in a trial, and its callers saw no_target. Ruled out: the store's watch, the stream's windows, the order of updates. Two daemons of a trial could also be given one port.

--- a/packages/daemon/peridot_daemon/leases.py
+++ b/packages/daemon/peridot_daemon/leases.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from itertools import count
 
-from peridot_daemon.links import LINK_ERRORS, open_channel
+from peridot_daemon.links import LINK_ERRORS, open_channel, open_stream
 from peridot_daemon.tls import PeerTls
 from peridot_placement.assignments import parse_assignment
 from peridot_placement.clock import boot_time
@@ -84,7 +84,7 @@
     async def _ask_at(self, address: str) -> None:
         """Ask at one address for as long as it answers as the placer."""
         async with open_channel(address, self.tls) as stub:
-            async with stub.Lease.open() as stream:
+            async with open_stream(stub.Lease) as stream:
                 self.replied_at = boot_time()
                 async with asyncio.timeout(REPLY_TIMEOUT_S):
                     await stream.send_request()
--- a/packages/daemon/peridot_daemon/links.py
+++ b/packages/daemon/peridot_daemon/links.py
@@ -2,10 +2,10 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Iterator
-from contextlib import asynccontextmanager, contextmanager
+from contextlib import asynccontextmanager, contextmanager, suppress
 from itertools import count
 
-from grpclib.client import Channel
+from grpclib.client import Channel, ServiceMethod, Stream
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from peridot_daemon.messages import InvalidMessage, parse_outcome, serialize_request
@@ -44,6 +44,20 @@
         channel.close()
 
 
+@asynccontextmanager
+async def open_stream(method: ServiceMethod) -> AsyncIterator[Stream]:
+    """Hold a stream and cancel it at the end, whatever the peer still sends.
+
+    Without that, leaving the stream waits for the peer to end it.
+    """
+    async with method.open() as stream:
+        try:
+            yield stream
+        finally:
+            with suppress(*LINK_ERRORS):
+                await stream.cancel()
+
+
 class PeerLink:
     """Carry requests to one peer over one stream, matched by number."""
 
@@ -107,7 +121,7 @@
         self.outbox = asyncio.Queue()
         try:
             async with open_channel(self.address, self.tls) as stub:
-                async with stub.Forward.open() as stream:
+                async with open_stream(stub.Forward) as stream:
                     async with asyncio.timeout(CONNECT_TIMEOUT_S):
                         await stream.send_request()
                     self.connected.set()
--- a/packages/daemon/peridot_daemon/sources.py
+++ b/packages/daemon/peridot_daemon/sources.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from peridot_daemon.links import LINK_ERRORS, open_channel
+from peridot_daemon.links import LINK_ERRORS, open_channel, open_stream
 from peridot_daemon.messages import parse_change, parse_vm
 from peridot_daemon.replica import WATCHED_KINDS, Replica
 from peridot_daemon.tls import PeerTls
@@ -130,7 +130,7 @@
         heard = False
         try:
             async with open_channel(address, self.tls) as stub:
-                async with stub.Sync.open() as stream:
+                async with open_stream(stub.Sync) as stream:
                     async with asyncio.timeout(SYNC_SILENCE_S):
                         await stream.send_message(
                             pb.SyncRequest(revision=self.replica.revision), end=True
--- a/packages/fakes/peridot_fakes/fleet.py
+++ b/packages/fakes/peridot_fakes/fleet.py
@@ -26,17 +26,21 @@
 POLL_S = 0.05
 PORT_RANGE = (23_000, 32_000)
 
+given_ports: set[int] = set()
+
 
 def free_ports(count: int) -> list[int]:
     """Return loopback ports that nobody uses.
 
-    They lie below the range from which the kernel takes ports for connections.
+    They lie below the range from which the kernel takes ports for connections, and
+    none is returned twice, since its user may not listen yet.
     """
     found: list[int] = []
     while len(found) < count:
         port = random.randrange(*PORT_RANGE)
-        if port not in found and _is_free(port):
+        if port not in given_ports and _is_free(port):
             found.append(port)
+            given_ports.add(port)
     return found
 
 
--- /dev/null
+++ b/packages/placement/tests/test_loads.py
@@ -0,0 +1,53 @@
+"""Test load reports, hot keys and splits."""
+
+from peridot_placement.hashing import HASH_SPACE
+from peridot_placement.loads import KeySketch, LoadBook, LoadMeter, LoadReport
+from peridot_placement.slices import HashRange, SliceTable
+from peridot_placement.splits import split_hot_slices
+
+WHOLE = [HashRange(0, HASH_SPACE)]
+
+
+def test_sketch_keeps_hot_keys_among_many_cold_ones():
+    sketch = KeySketch()
+    for number in range(5000):
+        sketch.add(1 if number % 3 == 0 else 10 + number)
+    hottest = sketch.hottest()
+    assert hottest[0][0] == 1
+    assert len(sketch.counts) <= 400
+
+
+def test_meter_forgets_within_some_half_lives():
+    meter = LoadMeter(decayed_at=100.0)
+    for _ in range(100):
+        meter.add(0, 5)
+    meter.decay(105.0)
+    assert 6.0 < meter.rates()[0] < 7.5
+    meter.decay(200.0)
+    assert meter.rates() == {}
+
+
+def test_hot_key_gets_a_slice_of_its_own_and_takes_its_load_along():
+    table = SliceTable()
+    table.settle(0, "a")
+    book = LoadBook()
+    book.take("vm", "s", LoadReport(0.0, {0: 1000.0}, {500: 900.0}))
+    loads = book.slice_loads("s", table, WHOLE, 0.0)
+    assert split_hot_slices(table, loads, book.hot_keys("s", 0.0), 4) >= 2
+    index = table.find(500)
+    assert table.range_at(index) == HashRange(500, 501)
+    assert book.slice_loads("s", table, WHOLE, 0.0)[index] >= 900.0
+
+
+def test_moving_slices_are_not_split():
+    table = SliceTable()
+    table.settle(0, "a")
+    table.start_move(0, "b")
+    assert split_hot_slices(table, {0: 1000.0}, {500: 900.0}, 4) == 0
+
+
+def test_old_reports_no_longer_count():
+    table = SliceTable()
+    book = LoadBook()
+    book.take("vm", "s", LoadReport(0.0, {0: 1000.0}, {}))
+    assert book.slice_loads("s", table, WHOLE, 10.0)[0] < 100.0
