Let a leaving owner serve until its slices have moved

Change: an owner of keys that leaves serves on until its slices have moved, 2 s at most; other targets get no new work at once.

--- /dev/null
+++ b/packages/fakes/peridot_fakes/soak.py
@@ -0,0 +1,233 @@
+"""Soak: random faults by seed under load, then the journals' verdict."""
+
+import asyncio
+import random
+import signal
+import sys
+from collections import Counter
+from dataclasses import dataclass, field
+from time import monotonic
+
+from absl import app, flags
+
+from peridot_fakes.fleet import Fleet, is_running, open_fleet
+from peridot_fakes.journals import Findings, check_journals
+from peridot_fakes.load import Call, Tally, run_load
+from peridot_fakes.trials import TrialService, write_manifests
+
+DATA_CENTRES = ("dc-a", "dc-b")
+VMS = 3
+KEYS = 300
+CONNECTIONS = 24
+RATE = 250.0
+LAST_QUIET_S = 5.0
+POLICY = {
+    "deadlineMs": 3000,
+    "attemptTimeoutMs": 1500,
+    "movesPerMinute": 600,
+    "weights": {"imbalance": 5.0},
+}
+
+
+@dataclass
+class SoakReport:
+    """Hold what a soak found."""
+
+    tally: Tally
+    findings: Findings
+    faults: Counter = field(default_factory=Counter)
+    violations: int = 0
+
+    def problems(self) -> dict[str, int]:
+        """Return the counts that must all be zero."""
+        return {
+            "owners_over_one": len(self.findings.two_owners),
+            "doubled_orders": len(self.findings.doubled),
+            "wrong_answers": self.tally.wrong,
+            "not_run_but_ran": len(self.findings.refused_but_ran),
+            "answered_but_not_run": len(self.findings.answered_but_not_run),
+            "invariants_violated": self.violations,
+        }
+
+
+@dataclass
+class Saboteur:
+    """Cause one fault after another, chosen by seed."""
+
+    fleet: Fleet
+    rng: random.Random
+    faults: Counter = field(default_factory=Counter)
+    stopped: set[str] = field(default_factory=set)
+
+    async def run(self, seconds: float) -> None:
+        """Cause faults until the time is up."""
+        ends = monotonic() + seconds
+        choices = (
+            self.freeze_target,
+            self.pause_daemon,
+            self.kill_daemon,
+            self.lose_store_answers,
+            self.take_store_away,
+            self.slow_store,
+            self.trouble_target,
+            self.stop_daemon,
+        )
+        while monotonic() < ends:
+            fault = self.rng.choice(choices)
+            self.faults[fault.__name__] += 1
+            await fault()
+            await asyncio.sleep(self.rng.uniform(0.2, 1.5))
+
+    def urls(self) -> list[str]:
+        """Return the daemons that a balancer would still use."""
+        return [
+            daemon.url
+            for daemon in self.fleet.daemons.values()
+            if is_running(daemon.process) and daemon.vm not in self.stopped
+        ]
+
+    async def freeze_target(self) -> None:
+        """Stop a target's process for a while and let it go on."""
+        target = self.rng.choice(self.fleet.targets)
+        target.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(self.rng.uniform(0.1, 2.0))
+        target.process.send_signal(signal.SIGCONT)
+
+    async def pause_daemon(self) -> None:
+        """Stop a daemon's process for a while and let it go on."""
+        daemon = self.rng.choice(list(self.fleet.daemons.values()))
+        daemon.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(self.rng.uniform(0.1, 4.0))
+        daemon.process.send_signal(signal.SIGCONT)
+
+    async def kill_daemon(self) -> None:
+        """Kill a daemon and start it again."""
+        daemon = self.rng.choice(list(self.fleet.daemons.values()))
+        self.stopped.add(daemon.vm)
+        daemon.process.kill()
+        await daemon.process.wait()
+        await self.fleet.start_daemon(daemon)
+        await self.fleet.wait_ready()
+        self.stopped.discard(daemon.vm)
+
+    async def stop_daemon(self) -> None:
+        """Stop a daemon gracefully and start it again."""
+        daemon = self.rng.choice(list(self.fleet.daemons.values()))
+        self.stopped.add(daemon.vm)
+        daemon.process.terminate()
+        await daemon.process.wait()
+        await self.fleet.start_daemon(daemon)
+        await self.fleet.wait_ready()
+        self.stopped.discard(daemon.vm)
+
+    async def lose_store_answers(self) -> None:
+        """Let some writes take effect whose answers are lost."""
+        await self.fleet.set_platform_faults(lose_answers=self.rng.randint(1, 3))
+
+    async def take_store_away(self) -> None:
+        """Cause an outage of the store."""
+        await self.fleet.set_platform_faults(outage=True)
+        await asyncio.sleep(self.rng.uniform(0.2, 4.0))
+        await self.fleet.set_platform_faults(outage=False)
+
+    async def slow_store(self) -> None:
+        """Make the store slow for a while."""
+        await self.fleet.set_platform_faults(delay_s=self.rng.uniform(0.05, 0.6))
+        await asyncio.sleep(self.rng.uniform(0.5, 3.0))
+        await self.fleet.set_platform_faults(delay_s=0.0)
+
+    async def trouble_target(self) -> None:
+        """Make a target shed, tear, close or crawl for a while."""
+        target = self.rng.choice(self.fleet.targets)
+        (name,) = target.names
+        trouble = self.rng.choice(
+            (
+                {"shed_share": 0.3},
+                {"tear_share": 0.2},
+                {"close_share": 0.2},
+                {"slow_factor": 10.0},
+            )
+        )
+        await self.fleet.set_target_faults(name, **trouble)
+        await asyncio.sleep(self.rng.uniform(0.5, 2.0))
+        await self.fleet.set_target_faults(name)
+
+
+def choose_call(rng: random.Random) -> Call:
+    """Return a lookup or an order for a key; some keys are hot."""
+    rank = int(rng.paretovariate(1.0))
+    key = f"key-{min(rank, KEYS)}"
+    if rng.random() < 0.4:
+        return Call("POST", f"/desk/{key}", key, b"order")
+    return Call("GET", f"/desk/{key}", key)
+
+
+async def run_soak(seed: int, seconds: float) -> SoakReport:
+    """Run load and faults, then quiet, then check the journals."""
+    service = TrialService("desk", 8, DATA_CENTRES, policy=POLICY)
+    async with open_fleet(log_sample=0.1) as fleet:
+        file = write_manifests(fleet.folder, [service])
+        await fleet.start_platform()
+        await fleet.set_platform_faults(vm_lag_s=0.5)
+        await fleet.start_targets([file], apart=True)
+        await fleet.apply(file)
+        await fleet.start_daemons(dict.fromkeys(DATA_CENTRES, VMS))
+        await fleet.wait_assigned("desk")
+        saboteur = Saboteur(fleet, random.Random(seed))
+        load = asyncio.create_task(
+            run_load(
+                fleet.session,
+                saboteur.urls,
+                choose_call,
+                seconds=seconds + LAST_QUIET_S,
+                connections=CONNECTIONS,
+                rate=RATE,
+                seed=seed,
+            )
+        )
+        await saboteur.run(seconds)
+        tally = await load
+        journals = await fleet.journals()
+        findings = check_journals(journals, tally.orders_answered, tally.orders_not_run)
+        violations = count_violations(fleet)
+        return SoakReport(tally, findings, saboteur.faults, violations)
+
+
+def count_violations(fleet: Fleet) -> int:
+    """Return how often a daemon reported a broken invariant."""
+    return sum(
+        daemon.log_file.read_text().count("event=invariant_violated")
+        for daemon in fleet.daemons.values()
+    )
+
+
+def print_report(seed: int, report: SoakReport) -> int:
+    """Print what a soak found; return how many counts were not zero."""
+    tally = report.tally
+    print(
+        f"soak: seed={seed} requests={tally.sent} answered={tally.answered} "
+        f"not_run={tally.not_run} unknown={tally.unknown} failed={tally.failed}"
+    )
+    print(f"soak: faults {dict(report.faults)}")
+    print(f"soak: reasons {dict(tally.reasons)}")
+    for name, count in report.problems().items():
+        print(f"soak: {name}={count}")
+    return sum(bool(count) for count in report.problems().values())
+
+
+def main(argv: list[str]) -> None:
+    """Run one soak."""
+    values = flags.FLAGS
+    report = asyncio.run(run_soak(values.seed, values.seconds))
+    sys.exit(print_report(values.seed, report))
+
+
+def define_flags() -> None:
+    """Define the flags of a soak."""
+    flags.DEFINE_integer("seed", 1, "Seed of load and faults.")
+    flags.DEFINE_float("seconds", 60.0, "Time under faults.")
+
+
+if __name__ == "__main__":
+    define_flags()
+    app.run(main)
--- a/packages/routing/peridot_routing/fronts.py
+++ b/packages/routing/peridot_routing/fronts.py
@@ -17,6 +17,8 @@
 
 LATENCY_WEIGHT = 0.1
 FIRST_LATENCY_S = 0.005
+# An owner of keys that leaves still gets their requests for this long at most.
+HAND_OVER_S = 2.0
 
 
 @dataclass
@@ -29,14 +31,23 @@
     latency_s: float = FIRST_LATENCY_S
     running: set[asyncio.Task] = field(default_factory=set)
     abandoned: set[asyncio.Task] = field(default_factory=set)
+    leaving_since: float = float("-inf")
 
     def update(self, target: Target, policy: RoutingPolicy) -> None:
         """Take in a newer declaration."""
+        if target.leaving and not self.target.leaving:
+            self.leaving_since = monotonic()
         self.target = target
         self.queue.slots = target.slots
         self.queue.queue_length = policy.queue_length
         self.queue.key_share = policy.key_share
 
+    def refuses_new_work(self, owns_keys: bool) -> bool:
+        """Tell whether the target leaves and has had time to hand its keys over."""
+        if not self.target.leaving:
+            return False
+        return not owns_keys or monotonic() - self.leaving_since > HAND_OVER_S
+
     def cost(self) -> float:
         """Return how unattractive the target is for another request."""
         waiting = self.queue.busy + len(self.queue.waiters) + 1
@@ -65,7 +76,7 @@
         front = await self._front(target_name, request.policy)
         if front is None:
             return NotRun(Reason.NO_TARGET, detail="no such target")
-        if front.target.leaving:
+        if front.refuses_new_work(request.service.divided_by_key):
             return NotRun(Reason.TARGET_REFUSED, detail="the target is leaving")
         async with front.queue.slot(request) as refusal:
             if refusal is not None:
