--- a/benchmarks/measure.py
+++ b/benchmarks/measure.py
@@ -5,17 +5,54 @@
 
 from absl import app, flags
 
+from benchmarks.balance import measure_balance
+from benchmarks.capacity import measure_capacity, measure_propagation
 from benchmarks.recovery import measure_recovery
 from benchmarks.results import Results
+from peridot_fakes.soak import print_report, run_soak
 
 flags.DEFINE_integer("trials", 20, "Trials of each fault.")
 flags.DEFINE_integer("seed", 1, "Seed of all choices.")
 flags.DEFINE_list("only", [], "Names of the parts to measure; all if empty.")
 
+SOAK_SEEDS = (1, 2, 3)
+SOAK_S = 60.0
+
+
+async def measure_balance_async(results: Results, values: flags.FlagValues) -> None:
+    """Measure the placement decisions in virtual time."""
+    measure_balance(results, values.seed)
+
+
+async def measure_soaks(results: Results, values: flags.FlagValues) -> None:
+    """Count what must never happen, over soaks by seed."""
+    totals: dict[str, int] = {}
+    requests = 0
+    for seed in SOAK_SEEDS:
+        report = await run_soak(seed, SOAK_S)
+        print_report(seed, report)
+        requests += report.tally.sent
+        for name, count in report.problems().items():
+            totals[name] = totals.get(name, 0) + count
+    results.at_least("soak_requests", requests, "requests", 20_000)
+    for name, count in totals.items():
+        results.at_most(f"soak_{name}", count, "count", 0)
+
+
+async def measure_configuration(results: Results, values: flags.FlagValues) -> None:
+    """Measure how soon changes are in force."""
+    await measure_propagation(results, 12, 2.0)
+    await measure_propagation(results, 96, 11.0)
+
+
 PARTS = {
+    "balance": measure_balance_async,
     "recovery": lambda results, values: measure_recovery(
         results, values.trials, values.seed
     ),
+    "soak": measure_soaks,
+    "configuration": measure_configuration,
+    "capacity": lambda results, values: measure_capacity(results),
 }
 
 
--- a/packages/daemon/peridot_daemon/daemon.py
+++ b/packages/daemon/peridot_daemon/daemon.py
@@ -14,7 +14,7 @@
 from peridot_daemon.entry import Entry
 from peridot_daemon.leases import LeaseClient, LiveView
 from peridot_daemon.links import PeerLinks, RemoteTermPeers
-from peridot_daemon.metrics import Metrics
+from peridot_daemon.metrics import ControlTraffic, Metrics
 from peridot_daemon.peers import PeerServer, serve_peers
 from peridot_daemon.replica import Replica
 from peridot_daemon.settings import Settings
@@ -64,6 +64,7 @@
         self.replica = Replica(log)
         self.tables = LocalTables()
         self.live = LiveView()
+        self.traffic = ControlTraffic()
         self.topology = ReplicaTopology(
             settings.vm,
             settings.data_centre,
@@ -94,6 +95,7 @@
             lambda: self.replica.catalog.revision,
             tls,
             log,
+            self.traffic,
         )
         self.links = PeerLinks(tls)
         self.stack.push_async_callback(self.links.close)
@@ -110,7 +112,12 @@
         self._add_gauges()
         self.entry = Entry(settings, self.router, self._catalog, self.metrics)
         self.peer_server = PeerServer(
-            self.me, self.keeper, self.replica, self.router, self._catalog
+            self.me,
+            self.keeper,
+            self.replica,
+            self.router,
+            self._catalog,
+            self.traffic,
         )
         source = ReplicaSource(
             self.replica,
@@ -122,6 +129,7 @@
             self._known_vms,
             tls,
             log,
+            self.traffic,
         )
         status = StatusWriter(store, self.keeper, self.replica, settings.data_centre)
         await self.stack.enter_async_context(
@@ -305,6 +313,16 @@
         gauges.add(
             "flights", "Attempts in flight.", lambda: len(self.fronts.tracker.flights)
         )
+        gauges.add(
+            "control_messages",
+            "Messages of control sent and received.",
+            lambda: self.traffic.messages,
+        )
+        gauges.add(
+            "control_bytes",
+            "Bytes of control messages, without what transports add.",
+            lambda: self.traffic.bytes,
+        )
         gauges.add("attempts", "Attempts made.", lambda: self.router.attempts)
         gauges.add("retries", "Retries made.", lambda: self.router.retries)
         gauges.add(
--- a/packages/daemon/peridot_daemon/leases.py
+++ b/packages/daemon/peridot_daemon/leases.py
@@ -6,6 +6,7 @@
 from itertools import count
 
 from peridot_daemon.links import LINK_ERRORS, open_channel, open_stream
+from peridot_daemon.metrics import ControlTraffic
 from peridot_daemon.tls import PeerTls
 from peridot_placement.assignments import parse_assignment
 from peridot_placement.clock import boot_time
@@ -49,6 +50,7 @@
     config_revision: Callable[[], int]
     tls: PeerTls
     log: DecisionLog
+    traffic: ControlTraffic = field(default_factory=ControlTraffic)
     leaving: bool = False
     wake: asyncio.Event = field(default_factory=asyncio.Event)
     ask_ids: count = field(default_factory=lambda: count(1))
@@ -100,6 +102,7 @@
                 reply = await stream.recv_message()
             if reply is None:
                 return
+            self.traffic.count(reply)
             if not self._take(reply):
                 return
 
@@ -107,6 +110,7 @@
         while True:
             self.wake.clear()
             ask = self._build_ask()
+            self.traffic.count(ask)
             await stream.send_message(ask)
             period = BUSY_PERIOD_S if ask.busy else ASK_PERIOD_S
             try:
--- a/packages/daemon/peridot_daemon/metrics.py
+++ b/packages/daemon/peridot_daemon/metrics.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 
+from google.protobuf.message import Message
 from prometheus_client import CollectorRegistry, Counter, Histogram
 from prometheus_client.core import GaugeMetricFamily, Metric
 
@@ -43,6 +44,19 @@
         found[1].observe(took_s)
 
 
+class ControlTraffic:
+    """Count the messages of control, both ways, and their bytes."""
+
+    def __init__(self) -> None:
+        self.messages = 0
+        self.bytes = 0
+
+    def count(self, message: Message) -> None:
+        """Count one message sent or received."""
+        self.messages += 1
+        self.bytes += message.ByteSize()
+
+
 class GaugeCollector:
     """Read gauges from functions at each scrape."""
 
--- a/packages/daemon/peridot_daemon/peers.py
+++ b/packages/daemon/peridot_daemon/peers.py
@@ -14,6 +14,7 @@
     serialize_outcome,
     serialize_vm,
 )
+from peridot_daemon.metrics import ControlTraffic
 from peridot_daemon.replica import Replica
 from peridot_daemon.settings import split_address
 from peridot_daemon.tls import PeerTls
@@ -42,12 +43,14 @@
         replica: Replica,
         router: Router,
         catalog: Callable[[], Catalog],
+        traffic: ControlTraffic,
     ) -> None:
         self.me = me
         self.keeper = keeper
         self.replica = replica
         self.router = router
         self.catalog = catalog
+        self.traffic = traffic
         self.forwarded = 0
 
     async def Forward(self, stream: Stream[pb.ForwardRequest, pb.ForwardReply]) -> None:
@@ -82,6 +85,7 @@
                 sent_vms = self.replica.vms
                 update.vms.extend(serialize_vm(vm) for vm in sent_vms)
             if self.replica.loaded:
+                self.traffic.count(update)
                 await stream.send_message(update)
                 known = update.revision
             try:
@@ -139,6 +143,8 @@
                 placer.held.stopped = True
                 placer.log.write("invariant_violated", detail=error)
                 return
+            self.traffic.count(ask)
+            self.traffic.count(reply)
             async with lock:
                 await stream.send_message(reply)
             ask = await stream.recv_message()
--- a/packages/daemon/peridot_daemon/sources.py
+++ b/packages/daemon/peridot_daemon/sources.py
@@ -5,6 +5,7 @@
 
 from peridot_daemon.links import LINK_ERRORS, open_channel, open_stream
 from peridot_daemon.messages import parse_change, parse_vm
+from peridot_daemon.metrics import ControlTraffic
 from peridot_daemon.replica import WATCHED_KINDS, Replica
 from peridot_daemon.tls import PeerTls
 from peridot_placement.decisions import DecisionLog
@@ -37,6 +38,7 @@
         known_vms: Callable[[], list[Vm]],
         tls: PeerTls,
         log: DecisionLog,
+        traffic: ControlTraffic,
     ) -> None:
         self.replica = replica
         self.store = store
@@ -48,6 +50,7 @@
         self.tls = tls
         self.log = log
         self.current = ""
+        self.traffic = traffic
 
     def readers(self) -> list[Vm]:
         """Return the VMs that watch the store for this data centre."""
@@ -140,6 +143,7 @@
                             update = await stream.recv_message()
                         if update is None:
                             return heard
+                        self.traffic.count(update)
                         self._take(update)
                         if not update.from_store:
                             return heard
--- /dev/null
+++ b/packages/routing/tests/test_router.py
@@ -0,0 +1,177 @@
+"""Test routes, retries and waiting with fakes at the interfaces."""
+
+import asyncio
+import random
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field, replace
+from time import monotonic
+
+from test_slots import POLICY, SERVICE, make_request
+
+from peridot_placement.assignments import Assignment
+from peridot_placement.decisions import MemoryDecisionLog
+from peridot_placement.permits import LocalTables
+from peridot_placement.slices import HomeTable, SliceTable
+from peridot_resources.catalog import Catalog, Target
+from peridot_routing.budgets import RetryBudget
+from peridot_routing.fronts import Fronts
+from peridot_routing.outcomes import Answered, NotRun, Reason, Unknown
+from peridot_routing.router import Forwarder, Router, Topology, Vm
+
+ANSWER = Answered(200, (), b"ok", "t1")
+TARGETS = {
+    name: Target(name, "s", "127.0.0.1:1", "dc-a", 3, 8, True, False)
+    for name in ("t1", "t2", "t3")
+}
+
+
+class FixedTopology(Topology):
+    """Know one data centre whose only live VM is another one."""
+
+    data_centre = "dc-a"
+    vm = "me"
+
+    def home_of(self, service):
+        return HomeTable((0,), ("dc-a",))
+
+    def remote_assignment(self, service, data_centre):
+        return None
+
+    def live_vms(self, data_centre):
+        return 1, [Vm("other", "addr-1"), Vm("third", "addr-2")]
+
+    def lost_targets(self):
+        return set()
+
+
+@dataclass
+class ScriptedForwarder(Forwarder):
+    """Answer with the outcomes of a script, the last one for ever."""
+
+    script: list
+    seen: list = field(default_factory=list)
+
+    async def forward(self, address, request, target):
+        self.seen.append((address, target))
+        return self.script.pop(0) if len(self.script) > 1 else self.script[0]
+
+
+def owned_by(target):
+    table = SliceTable()
+    table.settle(0, target)
+    return Assignment("s", "dc-a", 1, 1, "w", table)
+
+
+@asynccontextmanager
+async def router_with(script, divided=True):
+    tables = LocalTables()
+    tables.apply((1, 1), [owned_by("t1")])
+    service = replace(SERVICE, divided_by_key=divided)
+    catalog = Catalog(1, {"s": service}, TARGETS, {"p": POLICY})
+    forwarder = ScriptedForwarder(script)
+    async with Fronts(tables, lambda: catalog).run() as fronts:
+        yield Router(
+            FixedTopology(),
+            tables,
+            fronts,
+            forwarder,
+            lambda: catalog,
+            MemoryDecisionLog(),
+            random.Random(1),
+        )
+
+
+def handle(script, idempotent=True, divided=True, deadline_s=2.0):
+    async def session():
+        async with router_with(script, divided) as router:
+            service = router.catalog().services["s"]
+            request = replace(
+                make_request(1, deadline_s=deadline_s),
+                service=service,
+                idempotent=idempotent,
+            )
+            outcome = await router.handle(request)
+            return outcome, router
+
+    return asyncio.run(session())
+
+
+def test_order_of_unknown_outcome_is_never_sent_again():
+    outcome, router = handle([Unknown(Reason.FRONT_LOST), ANSWER], idempotent=False)
+    assert outcome == Unknown(Reason.FRONT_LOST)
+    assert len(router.forwarder.seen) == 1
+
+
+def test_order_that_was_not_run_goes_to_the_next_front():
+    outcome, router = handle([NotRun(Reason.FRONT_LOST), ANSWER], idempotent=False)
+    assert outcome == ANSWER
+    first, second = router.forwarder.seen
+    assert first[0] != second[0]
+
+
+def test_lookup_of_unknown_outcome_is_tried_again_within_the_budget():
+    outcome, router = handle([Unknown(Reason.TORN_ANSWER)])
+    assert outcome == Unknown(Reason.TORN_ANSWER)
+    assert 1 < len(router.forwarder.seen) <= 4
+
+
+def test_service_not_divided_by_key_avoids_the_target_that_refused():
+    outcome, router = handle([NotRun(Reason.CONNECTION_REFUSED), ANSWER], divided=False)
+    assert outcome == ANSWER
+    first, second = router.forwarder.seen
+    assert first[1] != second[1]
+
+
+def test_overloaded_owner_is_final_at_once():
+    began = monotonic()
+    outcome, router = handle([NotRun(Reason.OVERLOADED, 700)])
+    assert outcome == NotRun(Reason.OVERLOADED, 700)
+    assert monotonic() - began < 0.5
+    assert len(router.forwarder.seen) == 1
+
+
+def test_request_waits_for_its_slice_and_follows_the_new_owner():
+    async def session():
+        async with router_with([ANSWER]) as router:
+            moving = owned_by("t1")
+            moving.table.start_move(0, "t2")
+            router.tables.apply((1, 2), [moving])
+            task = asyncio.create_task(router.handle(make_request(1)))
+            await asyncio.sleep(0.1)
+            assert not task.done()
+            router.tables.apply((1, 3), [owned_by("t2")])
+            await task
+            return router.forwarder.seen
+
+    assert [target for _, target in asyncio.run(session())] == ["t2"]
+
+
+def test_waiting_ends_long_before_the_deadline():
+    async def session():
+        async with router_with([ANSWER]) as router:
+            moving = owned_by("t1")
+            moving.table.start_move(0, "t2")
+            router.tables.apply((1, 2), [moving])
+            began = monotonic()
+            outcome = await router.handle(make_request(1, deadline_s=30.0))
+            return outcome, monotonic() - began
+
+    outcome, took_s = asyncio.run(session())
+    assert outcome.reason is Reason.SLICE_MOVING
+    assert outcome.retry_after_ms > 0
+    assert took_s < 2.0
+
+
+def test_request_without_a_live_permit_is_not_sent():
+    async def session():
+        async with router_with([ANSWER]) as router:
+            return await router.serve_forwarded(make_request(1), "t1")
+
+    assert asyncio.run(session()).reason is Reason.NO_PERMIT
+
+
+def test_budget_is_a_share_of_recent_requests():
+    budget = RetryBudget(0.1, decayed_at=monotonic())
+    for _ in range(100):
+        budget.note_request()
+    assert sum(budget.take() for _ in range(50)) in (9, 10)
