Send nothing to a lost target, and eject faltering ones

Cause: after a target froze, its front broke off what ran there, and requests that had waited took the free slots before the tables changed; they ran into the attempt timeout of 1 s. Ruled out: detection (0.5 s) and the move (10 ms). Change: a front sends nothing to a target that it takes for lost. Services not divided by key choose by what the entry itself saw.

--- a/packages/daemon/peridot_daemon/daemon.py
+++ b/packages/daemon/peridot_daemon/daemon.py
@@ -236,6 +236,7 @@
             self.tables,
             self._catalog,
             self._is_front,
+            self.fronts.set_lost,
             self.fronts.abandon,
             self.fronts.tracker.forget_target,
             lambda: self.lease.request_ask(),
--- a/packages/daemon/peridot_daemon/leases.py
+++ b/packages/daemon/peridot_daemon/leases.py
@@ -140,6 +140,8 @@
             )
         if now - self.loads_sent_at > LOAD_PERIOD_S:
             self.loads_sent_at = now
+            for target, latency_s in self.fronts.latencies_s().items():
+                ask.latencies.add(target=target, latency_ms=latency_s * 1000)
             for service, meter in self.fronts.meters.items():
                 _add_loads(ask, service, meter, now)
         self.asked_at[ask.ask_id] = now
--- a/packages/placement/peridot_placement/balancer.py
+++ b/packages/placement/peridot_placement/balancer.py
@@ -83,7 +83,7 @@
         _, name = heappop(heap)
         loads.load[name] += item.load
         heappush(heap, (loads.ratio(name), name))
-        moves.append(Move(item.index, item.owner, name, "owner_lost"))
+        moves.append(Move(item.index, item.owner, name, "owner_unusable"))
     return moves
 
 
--- a/packages/placement/peridot_placement/placer.py
+++ b/packages/placement/peridot_placement/placer.py
@@ -21,6 +21,7 @@
 )
 from peridot_placement.clock import boot_time
 from peridot_placement.decisions import DecisionLog
+from peridot_placement.ejection import Ejector
 from peridot_placement.errors import check_invariant
 from peridot_placement.ledger import BusyRange, PermitLedger
 from peridot_placement.loads import LoadBook, LoadReport
@@ -108,6 +109,7 @@
         self.log = log
         self.ledger = PermitLedger()
         self.loads = LoadBook()
+        self.ejector = Ejector()
         self.counts = PlacerCounts()
         self.states: dict[str, ServiceState] = {}
         self.sequence = 0
@@ -346,8 +348,16 @@
 
     def _capacities(self, service: Service, now: float) -> dict[str, float]:
         capacities = {}
-        for target in self._usable_targets(service):
-            since = now - self.returned_at.get(target.name, float("-inf"))
+        targets = self._usable_targets(service)
+        names = [target.name for target in targets]
+        for name in self.ejector.judge(names, now):
+            self.log.write("target_ejected", service=service.name, target=name)
+        ejected = self.ejector.ejected(names, now)
+        for target in targets:
+            if target.name in ejected:
+                continue
+            returned = self.returned_at.get(target.name, float("-inf"))
+            since = now - max(returned, self.ejector.returned_at(target.name))
             share = min(1.0, RAMP_START + (1 - RAMP_START) * since / RAMP_S)
             capacities[target.name] = target.slots * share
         return capacities
@@ -576,6 +586,8 @@
             report.rates[item.start] = item.rate
             for key in item.hot_keys:
                 report.hot_keys[key.key_hash] = key.rate
+        for item in ask.latencies:
+            self.ejector.take(item.target, item.latency_ms / 1000, now)
         for service, report in reports.items():
             self.loads.take(ask.vm, service, report)
 
--- a/packages/routing/peridot_routing/fronts.py
+++ b/packages/routing/peridot_routing/fronts.py
@@ -17,6 +17,7 @@
 
 LATENCY_WEIGHT = 0.1
 FIRST_LATENCY_S = 0.005
+LATENCY_LIFE_S = 3.0
 # An owner of keys that leaves still gets their requests for this long at most.
 HAND_OVER_S = 2.0
 
@@ -32,6 +33,7 @@
     running: set[asyncio.Task] = field(default_factory=set)
     abandoned: set[asyncio.Task] = field(default_factory=set)
     leaving_since: float = float("-inf")
+    answered_at: float = float("-inf")
 
     def update(self, target: Target, policy: RoutingPolicy) -> None:
         """Take in a newer declaration."""
@@ -48,11 +50,6 @@
             return False
         return not owns_keys or monotonic() - self.leaving_since > HAND_OVER_S
 
-    def cost(self) -> float:
-        """Return how unattractive the target is for another request."""
-        waiting = self.queue.busy + len(self.queue.waiters) + 1
-        return waiting * self.latency_s / self.queue.slots
-
 
 class Fronts:
     """Dispatch requests to targets under permits, slots and queues."""
@@ -63,6 +60,7 @@
         self.tracker = FlightTracker()
         self.meters: dict[str, LoadMeter] = {}
         self.fronts: dict[str, TargetFront] = {}
+        self.lost: set[str] = set()
         self.stack = AsyncExitStack()
 
     @asynccontextmanager
@@ -83,6 +81,13 @@
                 return refusal
             return await self._send(front, request)
 
+    def set_lost(self, target_name: str, lost: bool) -> None:
+        """Send nothing more to a target, or send to it again."""
+        if lost:
+            self.lost.add(target_name)
+        else:
+            self.lost.discard(target_name)
+
     def abandon(self, target_name: str) -> None:
         """Break off all attempts at a target that is lost."""
         front = self.fronts.get(target_name)
@@ -91,10 +96,14 @@
             for task in front.running:
                 task.cancel()
 
-    def cost_of(self, target_name: str) -> float:
-        """Return the cost of a target as seen from this VM."""
-        front = self.fronts.get(target_name)
-        return front.cost() if front else FIRST_LATENCY_S
+    def latencies_s(self) -> dict[str, float]:
+        """Return the service time of each target that was served lately."""
+        now = monotonic()
+        return {
+            name: front.latency_s
+            for name, front in self.fronts.items()
+            if now - front.answered_at < LATENCY_LIFE_S
+        }
 
     async def _front(self, name: str, policy: RoutingPolicy) -> TargetFront | None:
         target = self.catalog().targets.get(name)
@@ -112,6 +121,8 @@
         return front
 
     async def _send(self, front: TargetFront, request: RoutedRequest) -> Outcome:
+        if front.target.name in self.lost:
+            return NotRun(Reason.TARGET_LOST)
         if not request.service.divided_by_key:
             return await self._attempt(front, request, lambda: None)
         name = front.target.name
@@ -166,6 +177,7 @@
         if isinstance(outcome, Answered):
             took_s = monotonic() - began
             front.latency_s += LATENCY_WEIGHT * (took_s - front.latency_s)
+            front.answered_at = monotonic()
         elif isinstance(outcome, NotRun):
             outcome = replace(outcome, detail=outcome.detail or front.target.name)
         return outcome
--- a/packages/routing/peridot_routing/router.py
+++ b/packages/routing/peridot_routing/router.py
@@ -15,6 +15,7 @@
 from peridot_placement.slices import HomeTable
 from peridot_resources.catalog import Catalog, Target
 from peridot_routing.budgets import RetryBudget
+from peridot_routing.costs import TargetCosts
 from peridot_routing.fronts import Fronts
 from peridot_routing.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from peridot_routing.requests import RoutedRequest, expired
@@ -112,6 +113,7 @@
         self.catalog = catalog
         self.log = log
         self.rng = rng
+        self.costs = TargetCosts()
         self.budgets: dict[str, RetryBudget] = {}
         self.avoided_links: dict[str, float] = {}
         self.rankings: dict[tuple[str, str, int], list[Vm]] = {}
@@ -163,17 +165,18 @@
             self._log_attempt(request, None, route)
             return route
         self.attempts += 1
-        if route.local:
-            outcome = await self.serve_forwarded(request, route.target)
-        else:
-            outcome = await self.forwarder.forward(
-                route.vm.address, request, route.target
-            )
+        with self.costs.attempt(route.target):
+            outcome = await self._follow(route, request)
         if not isinstance(outcome, Answered):
             self._avoid(request, route, outcome)
         self._log_attempt(request, route, outcome)
         return outcome
 
+    async def _follow(self, route: Route, request: RoutedRequest) -> Outcome:
+        if route.local:
+            return await self.serve_forwarded(request, route.target)
+        return await self.forwarder.forward(route.vm.address, request, route.target)
+
     def _choose_owner(self, request: RoutedRequest) -> Route | NotRun:
         service = request.service.name
         homes = self.topology.home_of(service)
@@ -198,7 +201,7 @@
         if not usable:
             return NotRun(Reason.NO_TARGET, 1000)
         two = self.rng.sample(usable, min(2, len(usable)))
-        target = min(two, key=lambda item: self.fronts.cost_of(item.name))
+        target = min(two, key=lambda item: self.costs.value(item.name, item.slots))
         return self._route(target.name, target.data_centre, request)
 
     def _usable(self, targets: list[Target], request: RoutedRequest) -> list[Target]:
--- a/packages/routing/peridot_routing/watcher.py
+++ b/packages/routing/peridot_routing/watcher.py
@@ -47,6 +47,7 @@
     tables: LocalTables
     catalog: Callable[[], Catalog]
     is_front: Callable[[Target], bool]
+    set_lost: Callable[[str, bool], None]
     abandon: Callable[[str], None]
     forget_flights: Callable[[str], None]
     on_change: Callable[[], None]
@@ -85,6 +86,7 @@
                 for name in self.tasks.keys() - wanted:
                     self.tasks.pop(name).cancel()
                     self.health.pop(name, None)
+                    self.set_lost(name, False)
                 await asyncio.sleep(GRANT_PERIOD_S / 2)
 
     async def _watch(self, name: str) -> None:
@@ -158,11 +160,13 @@
         health.signs += 1
         if health.lost and health.signs >= SIGNS_UNTIL_BACK:
             health.lost = False
+            self.set_lost(target.name, False)
             self.log.write("target_back", target=target.name)
             self.on_change()
 
     def _lose(self, target: Target, health: TargetHealth, outcome: GrantFailed) -> None:
         health.lost = True
+        self.set_lost(target.name, True)
         self.log.write("target_silent", target=target.name, reason=outcome.reason)
         if outcome.refused:
             self.forget_flights(target.name)
--- a/packages/routing/tests/test_router.py
+++ b/packages/routing/tests/test_router.py
@@ -9,6 +9,7 @@
 from test_slots import POLICY, SERVICE, make_request
 
 from peridot_placement.assignments import Assignment
+from peridot_placement.clock import boot_time
 from peridot_placement.decisions import MemoryDecisionLog
 from peridot_placement.permits import LocalTables
 from peridot_placement.slices import HomeTable, SliceTable
@@ -170,6 +171,19 @@
     assert asyncio.run(session()).reason is Reason.NO_PERMIT
 
 
+def test_target_taken_for_lost_is_sent_nothing():
+    async def session():
+        async with router_with([ANSWER]) as router:
+            router.tables.permit.extend(1, boot_time(), 5.0)
+            router.fronts.set_lost("t1", True)
+            lost = await router.serve_forwarded(make_request(1), "t1")
+            router.fronts.set_lost("t1", False)
+            tried = await router.serve_forwarded(make_request(1), "t1")
+            return lost.reason, tried.reason
+
+    assert asyncio.run(session()) == (Reason.TARGET_LOST, Reason.CONNECTION_REFUSED)
+
+
 def test_budget_is_a_share_of_recent_requests():
     budget = RetryBudget(0.1, decayed_at=monotonic())
     for _ in range(100):
