--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEED ?= 1
 SECONDS ?= 60
 
-.PHONY: setup demo test lint format soak measure bench stubs
+.PHONY: setup demo test lint format soak measure bench stubs docs
 
 setup: $(VENV)/.ready
 
@@ -46,3 +46,7 @@
 		-I. --python_out=. --grpclib_python_out=. peridot.proto
 	sed -i 's/^import peridot_pb2/from peridot_wire import peridot_pb2/' \
 		packages/wire/peridot_wire/peridot_grpc.py
+
+docs: setup
+	$(BIN)/python -c "from peridot_daemon.settings import describe_settings; \
+		print('# Settings\n'); print(describe_settings())" > docs/operators/settings.md
--- a/benchmarks/measure.py
+++ b/benchmarks/measure.py
@@ -7,6 +7,7 @@
 
 from benchmarks.balance import measure_balance
 from benchmarks.capacity import measure_capacity, measure_propagation
+from benchmarks.policy import measure_policy
 from benchmarks.recovery import measure_recovery
 from benchmarks.results import Results
 from peridot_fakes.soak import print_report, run_soak
@@ -50,6 +51,7 @@
     "recovery": lambda results, values: measure_recovery(
         results, values.trials, values.seed
     ),
+    "policy": lambda results, values: measure_policy(results, values.seed),
     "soak": measure_soaks,
     "configuration": measure_configuration,
     "capacity": lambda results, values: measure_capacity(results),
--- /dev/null
+++ b/packages/ctl/tests/test_porcelain.py
@@ -0,0 +1,144 @@
+"""Test the operators' actions against a store that races and fails."""
+
+import asyncio
+
+import orjson
+import pytest
+
+from peridot_ctl import porcelain
+from peridot_ctl.errors import Applied, Failed, Raced, Uncertain
+from peridot_platform.objects import MemoryObjectStore
+from peridot_platform.outcomes import Written
+from peridot_resources.errors import InvalidManifests
+
+POLICY = '{"kind": "RoutingPolicy", "name": "p", "spec": {"deadlineMs": %d}}'
+SERVICE = (
+    '{"kind": "Service", "name": "s", "spec": {"pathPrefix": "/s/",'
+    '"key": {"header": "Key"}, "dividedByKey": true, "policy": "p"}}'
+)
+
+
+class RacingStore(MemoryObjectStore):
+    """Let another operator write just before the next write."""
+
+    rival: bytes = b""
+
+    async def write(self, kind, name, value, expected):
+        if self.rival:
+            rival, self.rival = self.rival, b""
+            await super().write(kind, name, rival, None)
+        return await super().write(kind, name, value, expected)
+
+
+@pytest.fixture
+def files(tmp_path):
+    def write(**texts):
+        paths = []
+        for name, text in texts.items():
+            path = tmp_path / f"{name}.jsonc"
+            path.write_text(text)
+            paths.append(path)
+        return paths
+
+    return write
+
+
+def run(action):
+    return asyncio.run(action)
+
+
+def test_apply_creates_changes_and_leaves_alone(files):
+    async def session():
+        store = MemoryObjectStore()
+        actions = []
+        for deadline in (2000, 2000, 3000):
+            (outcome,) = await porcelain.apply(store, files(p=POLICY % deadline))
+            actions.append(outcome.action)
+        return actions
+
+    assert run(session()) == ["created", "unchanged", "changed"]
+
+
+def test_second_of_two_operators_is_told_the_difference(files):
+    async def session():
+        store = RacingStore()
+        await porcelain.apply(store, files(p=POLICY % 2000))
+        store.rival = b'{"spec": {"deadlineMs": 9000}}'
+        (outcome,) = await porcelain.apply(store, files(p=POLICY % 3000))
+        stored = await store.read("RoutingPolicy", "p")
+        return outcome, orjson.loads(stored.value)
+
+    outcome, stored = run(session())
+    assert isinstance(outcome, Raced)
+    assert "9000" in outcome.difference
+    assert stored == {"spec": {"deadlineMs": 9000}}
+
+
+def test_write_whose_answer_was_lost_is_read_back(files):
+    async def session():
+        store = MemoryObjectStore()
+        store.lose_answers = 1
+        (outcome,) = await porcelain.apply(store, files(p=POLICY % 2000))
+        return outcome, store.writes
+
+    outcome, writes = run(session())
+    assert isinstance(outcome, Applied)
+    assert writes == 1
+
+
+def test_lost_answer_in_an_outage_stays_uncertain(files, monkeypatch):
+    monkeypatch.setattr(porcelain, "READ_BACK_PAUSE_S", 0.0)
+
+    class DyingStore(MemoryObjectStore):
+        async def write(self, kind, name, value, expected):
+            self.lose_answers = 1
+            outcome = await super().write(kind, name, value, expected)
+            await self.set_outage(True)
+            return outcome
+
+    (outcome,) = run(porcelain.apply(DyingStore(), files(p=POLICY % 2000)))
+    assert isinstance(outcome, Uncertain)
+
+
+def test_nothing_is_applied_if_a_reference_dangles(files):
+    async def session():
+        store = MemoryObjectStore()
+        with pytest.raises(InvalidManifests, match="no RoutingPolicy named p"):
+            await porcelain.apply(store, files(s=SERVICE))
+        return store.writes
+
+    assert run(session()) == 0
+
+
+def test_dry_run_writes_nothing(files):
+    async def session():
+        store = MemoryObjectStore()
+        (outcome,) = await porcelain.apply(store, files(p=POLICY % 2000), dry_run=True)
+        return outcome.action, store.writes
+
+    assert run(session()) == ("would be created", 0)
+
+
+def test_resource_in_use_is_not_deleted(files):
+    async def session():
+        store = MemoryObjectStore()
+        await porcelain.apply(store, files(p=POLICY % 2000, s=SERVICE))
+        first = await porcelain.delete(store, "RoutingPolicy", "p")
+        await porcelain.delete(store, "Service", "s")
+        return first, await porcelain.delete(store, "RoutingPolicy", "p")
+
+    first, last = run(session())
+    assert first == Failed("RoutingPolicy", "p", "still used by Service/s")
+    assert last.action == "deleted"
+
+
+def test_wait_names_the_vm_that_is_behind(files):
+    async def session():
+        store = MemoryObjectStore()
+        await porcelain.apply(store, files(p=POLICY % 2000))
+        status = {"vm_revisions": {"vm-1": 1, "vm-2": 0}}
+        written = await store.write("Status", "dc-a", orjson.dumps(status), None)
+        assert isinstance(written, Written)
+        return await porcelain.wait_in_force(store, 0.3)
+
+    assert run(session()) == ["dc-a/vm-2 at 0"]
--- a/packages/daemon/tests/test_settings.py
+++ b/packages/daemon/tests/test_settings.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from peridot_daemon.settings import InvalidSettings, check_settings, load_settings
+from peridot_daemon.settings import (
+    InvalidSettings,
+    check_settings,
+    describe_settings,
+    load_settings,
+)
 
 EXAMPLE = Path(__file__).parents[3] / "examples" / "peridotd.jsonc"
 
@@ -47,3 +52,8 @@
     broken.write_text("{")
     with pytest.raises(InvalidSettings):
         load_settings(broken, {})
+
+
+def test_settings_reference_is_current():
+    page = EXAMPLE.parents[1] / "docs" / "operators" / "settings.md"
+    assert page.read_text() == f"# Settings\n\n{describe_settings()}\n"
--- a/packages/fakes/peridot_fakes/soak.py
+++ b/packages/fakes/peridot_fakes/soak.py
@@ -6,11 +6,15 @@
 import sys
 from collections import Counter
 from dataclasses import dataclass, field
+from pathlib import Path
 from time import monotonic
 
+import orjson
 from absl import app, flags
+from aiohttp import ClientError
 
-from peridot_fakes.fleet import Fleet, is_running, open_fleet
+from peridot_ctl import porcelain
+from peridot_fakes.fleet import DaemonProcess, Fleet, is_running, open_fleet
 from peridot_fakes.journals import Findings, check_journals
 from peridot_fakes.load import Call, Tally, run_load
 from peridot_fakes.trials import TrialService, write_manifests
@@ -21,6 +25,7 @@
 CONNECTIONS = 24
 RATE = 250.0
 LAST_QUIET_S = 5.0
+WATCH_PERIOD_S = 0.2
 POLICY = {
     "deadlineMs": 3000,
     "attemptTimeoutMs": 1500,
@@ -37,6 +42,7 @@
     findings: Findings
     faults: Counter = field(default_factory=Counter)
     violations: int = 0
+    reverts: int = 0
 
     def problems(self) -> dict[str, int]:
         """Return the counts that must all be zero."""
@@ -47,6 +53,7 @@
             "not_run_but_ran": len(self.findings.refused_but_ran),
             "answered_but_not_run": len(self.findings.answered_but_not_run),
             "invariants_violated": self.violations,
+            "reverts_seen": self.reverts,
         }
 
 
@@ -56,6 +63,7 @@
 
     fleet: Fleet
     rng: random.Random
+    file: Path
     faults: Counter = field(default_factory=Counter)
     stopped: set[str] = field(default_factory=set)
 
@@ -71,6 +79,7 @@
             self.slow_store,
             self.trouble_target,
             self.stop_daemon,
+            self.change_policy,
         )
         while monotonic() < ends:
             fault = self.rng.choice(choices)
@@ -136,6 +145,13 @@
         await asyncio.sleep(self.rng.uniform(0.5, 3.0))
         await self.fleet.set_platform_faults(delay_s=0.0)
 
+    async def change_policy(self) -> None:
+        """Change the policy as an operator, perhaps without success."""
+        manifests = orjson.loads(self.file.read_bytes())
+        manifests[0]["spec"]["queueLength"] = self.rng.randrange(100, 1000)
+        self.file.write_bytes(orjson.dumps(manifests))
+        await porcelain.apply(self.fleet.store, [self.file])
+
     async def trouble_target(self) -> None:
         """Make a target shed, tear, close or crawl for a while."""
         target = self.rng.choice(self.fleet.targets)
@@ -153,6 +169,33 @@
         await self.fleet.set_target_faults(name)
 
 
+@dataclass
+class RevisionWatch:
+    """Look for daemons whose configuration goes back."""
+
+    fleet: Fleet
+    highest: dict[str, int] = field(default_factory=dict)
+    reverts: int = 0
+
+    async def run(self) -> None:
+        """Look at all daemons again and again, until cancelled."""
+        while True:
+            for daemon in list(self.fleet.daemons.values()):
+                await self._look_at(daemon)
+            await asyncio.sleep(WATCH_PERIOD_S)
+
+    async def _look_at(self, daemon: DaemonProcess) -> None:
+        try:
+            async with asyncio.timeout(WATCH_PERIOD_S):
+                state = await self.fleet.state(daemon)
+        except (ClientError, OSError, TimeoutError):
+            return
+        revision = state["configuration_revision"]
+        before = self.highest.get(state["instance"], 0)
+        self.reverts += revision < before
+        self.highest[state["instance"]] = max(before, revision)
+
+
 def choose_call(rng: random.Random) -> Call:
     """Return a lookup or an order for a key; some keys are hot."""
     rank = int(rng.paretovariate(1.0))
@@ -173,7 +216,9 @@
         await fleet.apply(file)
         await fleet.start_daemons(dict.fromkeys(DATA_CENTRES, VMS))
         await fleet.wait_assigned("desk")
-        saboteur = Saboteur(fleet, random.Random(seed))
+        saboteur = Saboteur(fleet, random.Random(seed), file)
+        watch = RevisionWatch(fleet)
+        watching = asyncio.create_task(watch.run())
         load = asyncio.create_task(
             run_load(
                 fleet.session,
@@ -187,10 +232,11 @@
         )
         await saboteur.run(seconds)
         tally = await load
+        watching.cancel()
         journals = await fleet.journals()
         findings = check_journals(journals, tally.orders_answered, tally.orders_not_run)
         violations = count_violations(fleet)
-        return SoakReport(tally, findings, saboteur.faults, violations)
+        return SoakReport(tally, findings, saboteur.faults, violations, watch.reverts)
 
 
 def count_violations(fleet: Fleet) -> int:
