Report imbalance, churn and unavailable time from metrics

Change: answers by target and time spent waiting for owners as metrics; peridotctl report compares two looks at all daemons, with bars as an optional extra.

--- a/packages/ctl/peridot_ctl/main.py
+++ b/packages/ctl/peridot_ctl/main.py
@@ -12,6 +12,7 @@
 
 from peridot_ctl import porcelain
 from peridot_ctl.errors import ActionOutcome, Applied, Raced, Uncertain
+from peridot_ctl.reports import format_report, make_report, plot_report
 from peridot_ctl.tables import (
     format_change,
     format_json,
@@ -42,6 +43,8 @@
   delete KIND NAME        remove a resource that no other uses
   status                  show what is in force (--wait, --timeout_s)
   explain SERVICE KEY     show where a key goes (--admin)
+  report                  imbalance, churn and unavailable time over --window_s,
+                          from the daemons in --admins (--plot for bars)
 
 kinds: Service, Target, RoutingPolicy
 
@@ -55,6 +58,9 @@
 flags.DEFINE_bool("dry_run", False, "Show what apply would do.")
 flags.DEFINE_bool("diff", False, "Show the lines that apply changes.")
 flags.DEFINE_bool("wait", False, "Wait until the accepted revision is in force.")
+flags.DEFINE_list("admins", [], "URLs of all daemons' admin sides.")
+flags.DEFINE_float("window_s", 10.0, "Window of the report (s).")
+flags.DEFINE_bool("plot", False, "Plot answers by target; needs plotext.")
 flags.DEFINE_float("timeout_s", 11.0, "Longest wait of status --wait (s).")
 
 
@@ -192,6 +198,16 @@
     return EXIT_INVALID if "error" in found else EXIT_OK
 
 
+async def run_report(context: Context, arguments: list[str]) -> int:
+    """Show the three measures over a window."""
+    urls = flags.FLAGS.admins or [flags.FLAGS.admin]
+    report = await make_report(context.session, urls, flags.FLAGS.window_s)
+    print(format_report(report))
+    if flags.FLAGS.plot:
+        print(plot_report(report))
+    return EXIT_OK
+
+
 def to_files(arguments: list[str]) -> list[Path]:
     """Return the files named; raise WrongUsage if there are none."""
     if not arguments:
@@ -242,6 +258,7 @@
     "delete": run_delete,
     "status": run_status,
     "explain": run_explain,
+    "report": run_report,
 }
 
 if __name__ == "__main__":
--- a/packages/daemon/peridot_daemon/daemon.py
+++ b/packages/daemon/peridot_daemon/daemon.py
@@ -9,6 +9,7 @@
 
 from aiohttp import ClientSession, DummyCookieJar, TCPConnector
 from aiomisc import Service
+from prometheus_client.core import CounterMetricFamily, Metric
 
 from peridot_daemon.admin import Admin
 from peridot_daemon.entry import Entry
@@ -288,8 +289,30 @@
         in_flight = self.entry.open_requests + self.peer_server.forwarded
         return bool(in_flight) or self.keeper.holds_term
 
+    def _target_answers(self) -> Metric:
+        family = CounterMetricFamily(
+            "peridot_target_answers",
+            "Answers of the targets that this VM fronts.",
+            labels=("service", "target"),
+        )
+        for name, front in self.fronts.fronts.items():
+            family.add_metric((front.target.service, name), front.answers)
+        return family
+
+    def _owner_waits(self) -> Metric:
+        family = CounterMetricFamily(
+            "peridot_owner_wait_seconds",
+            "Time in which requests waited for a slice's owner.",
+            labels=("service",),
+        )
+        for service, meter in self.router.outages.items():
+            family.add_metric((service,), meter.seconds())
+        return family
+
     def _add_gauges(self) -> None:
         gauges = self.metrics.gauges
+        gauges.add_family(self._target_answers)
+        gauges.add_family(self._owner_waits)
         gauges.add(
             "configuration_revision",
             "Revision of the configuration in force here.",
--- a/packages/daemon/peridot_daemon/metrics.py
+++ b/packages/daemon/peridot_daemon/metrics.py
@@ -62,12 +62,19 @@
 
     def __init__(self) -> None:
         self.readers: dict[str, tuple[str, Callable[[], float]]] = {}
+        self.families: list[Callable[[], Metric]] = []
 
     def add(self, name: str, help_text: str, read: Callable[[], float]) -> None:
         """Add a gauge."""
         self.readers[name] = (help_text, read)
 
+    def add_family(self, read: Callable[[], Metric]) -> None:
+        """Add a metric with labels."""
+        self.families.append(read)
+
     def collect(self) -> Iterable[Metric]:
         """Return all gauges with their values of now."""
+        for read in self.families:
+            yield read()
         for name, (help_text, read) in self.readers.items():
             yield GaugeMetricFamily(f"peridot_{name}", help_text, value=read())
--- a/packages/routing/peridot_routing/fronts.py
+++ b/packages/routing/peridot_routing/fronts.py
@@ -34,6 +34,7 @@
     abandoned: set[asyncio.Task] = field(default_factory=set)
     leaving_since: float = float("-inf")
     answered_at: float = float("-inf")
+    answers: int = 0
 
     def update(self, target: Target, policy: RoutingPolicy) -> None:
         """Take in a newer declaration."""
@@ -178,6 +179,7 @@
             took_s = monotonic() - began
             front.latency_s += LATENCY_WEIGHT * (took_s - front.latency_s)
             front.answered_at = monotonic()
+            front.answers += 1
         elif isinstance(outcome, NotRun):
             outcome = replace(outcome, detail=outcome.detail or front.target.name)
         return outcome
--- a/packages/routing/peridot_routing/router.py
+++ b/packages/routing/peridot_routing/router.py
@@ -17,6 +17,7 @@
 from peridot_routing.budgets import RetryBudget
 from peridot_routing.costs import TargetCosts
 from peridot_routing.fronts import Fronts
+from peridot_routing.outages import OutageMeter
 from peridot_routing.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from peridot_routing.requests import RoutedRequest, expired
 
@@ -114,6 +115,7 @@
         self.log = log
         self.rng = rng
         self.costs = TargetCosts()
+        self.outages: dict[str, OutageMeter] = {}
         self.budgets: dict[str, RetryBudget] = {}
         self.avoided_links: dict[str, float] = {}
         self.rankings: dict[tuple[str, str, int], list[Vm]] = {}
@@ -283,12 +285,14 @@
             pause_s = OWNER_RETRY_S
         elif self._waits_for_owner(request, outcome):
             pause_s = LOST_OWNER_RETRY_S
-        if pause_s:
+        if not pause_s:
+            await asyncio.sleep(0)
+            return
+        meter = self.outages.setdefault(request.service.name, OutageMeter())
+        with meter.wait():
             await self.tables.wait_for_change(
                 max(0.0, min(pause_s, request.remaining_s()))
             )
-        else:
-            await asyncio.sleep(0)
 
     def _log_attempt(
         self, request: RoutedRequest, route: Route | None, outcome: Outcome
