Split the placer, and see the store again after an outage

Cause: the placer's module had 637 lines and several jobs; once a write had failed, the placer took the store for lost until its next move, and kept no candidates.

--- a/benchmarks/balance.py
+++ b/benchmarks/balance.py
@@ -7,7 +7,7 @@
 from peridot_placement.balancer import BalanceRequest, Move, SliceState, plan_moves
 from peridot_placement.hashing import HASH_SPACE, hash_key
 from peridot_placement.loads import LoadBook, LoadMeter, LoadReport, to_rate
-from peridot_placement.placer import (
+from peridot_placement.mover import (
     REBALANCE_PERIOD_S,
     SLICES_PER_TARGET,
     SPLIT_PERIOD_S,
--- a/packages/daemon/peridot_daemon/daemon.py
+++ b/packages/daemon/peridot_daemon/daemon.py
@@ -352,5 +352,7 @@
         gauges.add(
             "slice_moves",
             "Moves settled by this placer.",
-            lambda: self.keeper.placer.counts.settled if self.keeper.placer else 0,
+            lambda: (
+                self.keeper.placer.shared.counts.settled if self.keeper.placer else 0
+            ),
         )
--- a/packages/daemon/peridot_daemon/peers.py
+++ b/packages/daemon/peridot_daemon/peers.py
@@ -140,8 +140,8 @@
             try:
                 reply = placer.answer(ask)
             except InvariantViolation as error:
-                placer.held.stopped = True
-                placer.log.write("invariant_violated", detail=error)
+                placer.shared.held.stopped = True
+                placer.shared.log.write("invariant_violated", detail=error)
                 return
             self.traffic.count(ask)
             self.traffic.count(reply)
@@ -154,8 +154,8 @@
     ) -> None:
         """Send tables and live VMs as soon as they change."""
         while True:
-            await placer.push_event.wait()
-            entry = placer.ledger.entry(holder)
+            await placer.shared.push_event.wait()
+            entry = placer.shared.ledger.entry(holder)
             async with lock:
                 await stream.send_message(placer.describe_changes(entry.applied))
 
--- a/packages/daemon/peridot_daemon/status.py
+++ b/packages/daemon/peridot_daemon/status.py
@@ -90,14 +90,14 @@
         """Return the status as the placer sees it now."""
         revisions = {
             entry.holder.vm: entry.config_revision
-            for entry in placer.ledger.entries.values()
+            for entry in placer.shared.ledger.entries.values()
             if not entry.leaving
         }
         accepted = self.replica.catalog.revision
         in_force = min(revisions.values(), default=0)
         return DataCentreStatus(
             self.data_centre,
-            placer.held.record.number,
+            placer.shared.held.record.number,
             self.keeper.me.vm,
             accepted,
             in_force,
@@ -110,7 +110,7 @@
     def _targets(self, placer: Placer) -> dict[str, TargetStatus]:
         owned: dict[str, int] = {}
         moving: dict[str, int] = {}
-        for state in placer.states.values():
+        for state in placer.shared.states.values():
             for item in state.assignment.table:
                 if item.owner is None:
                     continue
@@ -121,7 +121,7 @@
             if target.data_centre != self.data_centre:
                 continue
             state = "leaving" if target.leaving else "live"
-            if name in placer.known_lost:
+            if name in placer.shared.known_lost:
                 state = "lost"
             statuses[name] = TargetStatus(
                 state, owned.get(name, 0), moving.get(name, 0)
@@ -139,12 +139,12 @@
             self._condition("InForce", in_force >= accepted, behind),
             self._condition("ObjectsValid", not invalid, ",".join(invalid) or "all"),
             self._condition(
-                "StoreReachable", placer.store_available, "last assignment write"
+                "StoreReachable", placer.shared.store_available, "last assignment write"
             ),
             self._condition(
                 "TargetsLive",
-                not placer.known_lost,
-                ",".join(sorted(placer.known_lost)),
+                not placer.shared.known_lost,
+                ",".join(sorted(placer.shared.known_lost)),
             ),
         ]
 
--- a/packages/fakes/peridot_fakes/fleet.py
+++ b/packages/fakes/peridot_fakes/fleet.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 
 import orjson
-from aiohttp import ClientError, ClientSession, ClientTimeout
+from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
 
 from peridot_ctl import porcelain
 from peridot_platform.http_objects import HttpObjectStore
@@ -315,7 +315,8 @@
     (platform_port,) = free_ports(1)
     with tempfile.TemporaryDirectory() as folder:
         timeout = ClientTimeout(total=CALL_TIMEOUT_S)
-        async with ClientSession(timeout=timeout) as session:
+        connector = TCPConnector(limit=0)
+        async with ClientSession(connector=connector, timeout=timeout) as session:
             fleet = Fleet(Path(folder), session, platform_port, **options)
             try:
                 yield fleet
--- a/packages/placement/peridot_placement/keeper.py
+++ b/packages/placement/peridot_placement/keeper.py
@@ -12,6 +12,7 @@
 from peridot_placement.clock import boot_time, with_drift
 from peridot_placement.decisions import DecisionLog
 from peridot_placement.hashing import rank_by_rendezvous
+from peridot_placement.placement_state import PlacementState
 from peridot_placement.placer import Placer
 from peridot_placement.terms import (
     CONFIRMATION_S,
@@ -30,7 +31,12 @@
 )
 from peridot_placement.writer import WriteAbandoned, WriteDone, write_durably
 from peridot_platform.objects import ObjectStore
-from peridot_platform.outcomes import Listing, Missing, StoredObject
+from peridot_platform.outcomes import (
+    Listing,
+    Missing,
+    StoredObject,
+    StoreUnavailable,
+)
 from peridot_resources.catalog import Catalog, Kind
 
 TICK_S = 0.03
@@ -280,12 +286,14 @@
         held = HeldTerm(record, self.version, earlier_rights_until)
         self.confirmed_at = float("-inf")
         placer = Placer(
-            self.store,
-            self.data_centre,
-            held,
-            self.catalog,
-            self.confirm,
-            self.log,
+            PlacementState(
+                self.store,
+                self.data_centre,
+                held,
+                self.catalog,
+                self.confirm,
+                self.log,
+            )
         )
         self.log.write("term_taken", term=record.number, vm=self.me.vm)
         self.candidates_asked = set(record.candidates)
@@ -315,16 +323,17 @@
         began = boot_time()
         self.confirmed_at = began
         found = await self.store.read(Kind.TERM, self.data_centre)
+        placer.shared.store_available = not isinstance(found, StoreUnavailable)
         if isinstance(found, StoredObject):
             record = parse_term(found.value)
-            placer.held.confirm(began, record, found.version)
+            placer.shared.held.confirm(began, record, found.version)
             self.version = found.version
             return
         if isinstance(found, Missing):
-            placer.held.stopped = True
+            placer.shared.held.stopped = True
             return
         asked = boot_time()
-        term = placer.held.record.number
+        term = placer.shared.held.record.number
         outcomes = await asyncio.gather(
             *(
                 self.peers.ask_promise(candidate, term, PROMISE_S)
@@ -333,7 +342,7 @@
         )
         kept = (PromiseOutcome.PROMISED, PromiseOutcome.GONE)
         if all(outcome in kept for outcome in outcomes):
-            placer.held.promise(asked, PROMISE_S)
+            placer.shared.held.promise(asked, PROMISE_S)
         self.log.write(
             "promises",
             term=term,
@@ -343,7 +352,7 @@
     async def _keep_candidates(self, held: HeldTerm) -> None:
         """Store new candidates when the live VMs have changed."""
         placer = self.placer
-        if not placer.store_available or not placer.live:
+        if not placer.shared.store_available or not placer.live:
             return
         wanted = choose_candidates(placer.live, self.me, held.record.candidates)
         if wanted == held.record.candidates:
