--- a/packages/fakes/peridot_fakes/fleet.py
+++ b/packages/fakes/peridot_fakes/fleet.py
@@ -104,6 +104,8 @@
     platform: asyncio.subprocess.Process | None = None
     daemons: dict[str, DaemonProcess] = field(default_factory=dict)
     targets: list[TargetProcess] = field(default_factory=list)
+    # Where the daemons of a data centre reach the platform, if not directly.
+    platform_urls: dict[str, str] = field(default_factory=dict)
 
     @property
     def platform_url(self) -> str:
@@ -157,14 +159,15 @@
 
     async def start_daemon(self, daemon: DaemonProcess) -> None:
         """Start a daemon's process."""
+        platform_url = self.platform_urls.get(daemon.data_centre, self.platform_url)
         settings = {
             "vm": daemon.vm,
             "data_centre": daemon.data_centre,
             "caller_listener": f"127.0.0.1:{daemon.caller_port}",
             "peer_listener": f"127.0.0.1:{daemon.peer_port}",
             "admin_listener": f"127.0.0.1:{daemon.admin_port}",
-            "object_api": self.platform_url,
-            "vm_list": self.platform_url,
+            "object_api": platform_url,
+            "vm_list": platform_url,
             "log_sample": self.log_sample,
             "insecure_peers": True,
         }
--- a/packages/fakes/tests/test_session.py
+++ b/packages/fakes/tests/test_session.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+import signal
 import subprocess
 import sys
 
@@ -117,6 +118,21 @@
     assert asyncio.run(run()) == snapshot
 
 
+def test_second_signal_ends_a_stopping_daemon_at_once():
+    async def run():
+        async with open_fleet() as fleet:
+            await fleet.start_platform()
+            await fleet.start_daemons({"dc-a": 1})
+            (daemon,) = fleet.daemons.values()
+            daemon.process.terminate()
+            await asyncio.sleep(0.2)
+            daemon.process.terminate()
+            async with asyncio.timeout(0.3):
+                return await daemon.process.wait()
+
+    assert asyncio.run(run()) == -signal.SIGTERM
+
+
 def test_wrong_settings_and_taken_ports_end_the_daemon_at_once(tmp_path):
     async def run():
         async with open_fleet() as fleet:
