--- a/packages/placement/peridot_placement/ledger.py
+++ b/packages/placement/peridot_placement/ledger.py
@@ -44,6 +44,11 @@
         """Return when the last permit given has certainly ended."""
         return self.granted_at + with_drift(PERMIT_S)
 
+    def is_live(self, now: float) -> bool:
+        """Tell whether the instance may get new work."""
+        heard = now - self.heard_at < LIVE_S
+        return heard and self.connections > 0 and not self.leaving
+
     def has_closed(
         self, service: str, closed_range: HashRange, epoch: tuple[int, int]
     ) -> bool:
@@ -80,11 +85,7 @@
 
     def live(self, now: float) -> list[Candidate]:
         """Return the instances that may get new work, ordered by VM."""
-        found = [
-            entry.holder
-            for entry in self.entries.values()
-            if entry.connections and not entry.leaving and now - entry.heard_at < LIVE_S
-        ]
+        found = [entry.holder for entry in self.entries.values() if entry.is_live(now)]
         return sorted(found, key=lambda holder: (holder.vm, holder.instance))
 
     def lost_targets(self, now: float) -> set[str]:
--- a/packages/placement/peridot_placement/placer.py
+++ b/packages/placement/peridot_placement/placer.py
@@ -45,18 +45,24 @@
         now = boot_time()
         holder = Candidate(ask.vm, ask.instance, ask.peer_address)
         entry = self.shared.ledger.entry(holder)
+        lost_targets = frozenset(ask.lost_targets)
+        was_live = entry.is_live(now)
+        lost_changed = lost_targets != entry.lost_targets
         entry.heard_at = now
         entry.leaving = ask.leaving
         entry.config_revision = ask.config_revision
-        entry.lost_targets = frozenset(ask.lost_targets)
+        entry.lost_targets = lost_targets
         entry.applied = (ask.term, ask.applied_sequence)
         entry.busy = tuple(
             BusyRange(item.service, HashRange(item.start, item.last + 1))
             for item in ask.busy
         )
         self._take_loads(ask, now)
-        self._note_lost_targets(now)
-        self.refresh_live()
+        # Both look at all VMs, so they wait for a change or the regular upkeep.
+        if lost_changed:
+            self._note_lost_targets(now)
+        if entry.is_live(now) != was_live:
+            self.refresh_live()
         entry.live_version = ask.live_version
         reply = self.describe_changes(entry.applied, entry.live_version)
         reply.ask_id = ask.ask_id
@@ -138,6 +144,7 @@
                         tasks[name] = group.create_task(mover.run())
                 self.shared.ledger.forget_lapsed(boot_time())
                 self.refresh_live()
+                self._note_lost_targets(boot_time())
                 await asyncio.sleep(UPKEEP_PERIOD_S)
         finally:
             for task in tasks.values():
