Keep a promise given while a candidate looks for the holder

Cause: found by reading: a candidate checked its promises, then looked for the holder for up to 0.5 s, then took the term; a promise given in between was broken. The last repetition of its update could also arrive after the update's stated life. Change: the check is made again with nothing awaited before the update begins, and updates are repeated for 1.5 s only, of a life of 4 s. Figures: the new test, in which the promise is asked for at that moment, fails before (term 2 stored) and passes after.

--- a/packages/placement/peridot_placement/keeper.py
+++ b/packages/placement/peridot_placement/keeper.py
@@ -242,7 +242,9 @@
             uuid4().hex,
             wait_after(self.record, presence is Presence.GONE),
         )
-        await self._store_record(record, self.version)
+        # A promise may have been given while the presence was looked up.
+        if self.candidacy.may_take(boot_time()):
+            await self._store_record(record, self.version)
 
     async def _all_gone(self, holder: Presence) -> bool:
         if holder is not Presence.GONE:
@@ -262,7 +264,7 @@
             serialize_term(record),
             expected,
             lambda value: parse_term(value).write_id == record.write_id,
-            lambda: boot_time() < self.candidacy.update_ends,
+            lambda: self.candidacy.may_repeat_update(boot_time()),
         )
         if outcome != WriteAbandoned(known=False):
             self.candidacy.end_update()
--- a/packages/placement/peridot_placement/terms.py
+++ b/packages/placement/peridot_placement/terms.py
@@ -16,7 +16,9 @@
 PERMIT_S = 0.7
 # A candidate takes the term after this long without a word from the placer.
 SILENCE_S = 0.35
-# The message of a conditional update can't arrive later than this.
+# An update is repeated for so long; a single call takes at most two seconds, and
+# none of its messages arrives later than the update's whole life.
+UPDATE_TRIES_S = 1.5
 UPDATE_LIFE_S = 4.0
 CANDIDATES = 2
 
@@ -116,6 +118,10 @@
         """Note that an update of the term is under way."""
         self.update_ends = now + UPDATE_LIFE_S
 
+    def may_repeat_update(self, now: float) -> bool:
+        """Tell whether a repetition would arrive within the update's life."""
+        return now < self.update_ends - UPDATE_LIFE_S + UPDATE_TRIES_S
+
     def end_update(self) -> None:
         """Note that the update's outcome is known."""
         self.update_ends = float("-inf")
--- a/packages/placement/tests/test_placer.py
+++ b/packages/placement/tests/test_placer.py
@@ -12,7 +12,7 @@
     TermKeeper,
     TermPeers,
 )
-from peridot_placement.terms import Candidate, parse_term
+from peridot_placement.terms import PROMISE_S, Candidacy, Candidate, parse_term
 from peridot_platform.objects import MemoryObjectStore
 from peridot_platform.outcomes import StoredObject
 from peridot_resources.catalog import Catalog, RoutingPolicy, Service, Target
@@ -78,9 +78,9 @@
             for name in list(self.tasks):
                 await self.kill(name)
 
-    def start(self, name):
+    def keeper(self, name):
         me = Candidate(name, f"i-{name}", f"a-{name}")
-        keeper = TermKeeper(
+        return TermKeeper(
             self.store,
             self.peers,
             me,
@@ -89,6 +89,9 @@
             lambda: ["vm1", "vm2", "vm3"],
             self.log,
         )
+
+    def start(self, name):
+        keeper = self.keeper(name)
         self.peers.keepers[name] = keeper
         self.tasks[name] = asyncio.create_task(keeper.run())
         return keeper
@@ -277,6 +280,44 @@
     run(scenario)
 
 
+def test_promise_given_while_a_candidate_looks_around_is_kept():
+    async def scenario(site):
+        async with site.running("vm1"):
+            placer = await site.placer()
+            candidate = Candidate("vm2", "i-vm2", "a-vm2")
+
+            async def has_candidate():
+                site.ask(placer, "vm2")
+                stored = await site.store.read("Term", "dc")
+                return candidate in parse_term(stored.value).candidates
+
+            await site.until(has_candidate, placer)
+            keeper = site.keeper("vm2")
+            keeper.take_record(await site.store.read("Term", "dc"))
+            term = keeper.record.number
+
+            async def promise_meanwhile(_):
+                assert keeper.promise(term, PROMISE_S)
+                return Presence.SILENT
+
+            site.peers.find_presence = promise_meanwhile
+            await keeper._try_to_take()
+            stored = await site.store.read("Term", "dc")
+            assert parse_term(stored.value).number == term
+
+    run(scenario)
+
+
+def test_update_is_not_repeated_so_late_that_it_outlives_its_promise():
+    candidacy = Candidacy()
+    candidacy.begin_update(100.0)
+    assert candidacy.may_repeat_update(101.4)
+    assert not candidacy.may_repeat_update(101.6)
+    assert not candidacy.give_promise(103.9, 1, PROMISE_S)
+    assert candidacy.give_promise(104.1, 1, PROMISE_S)
+    assert not candidacy.may_take(106.0)
+
+
 def test_deleted_term_starts_above_the_assignments_and_waits():
     async def scenario(site):
         async with site.running("vm1"):
