Put changes of policies and connections in force at the fronts

Cause: found by reading: a front took in a changed policy only when its target had changed too, never a changed number of connections, and kept the connections of deleted targets until the daemon stopped. Change: fronts compare both; a front whose connections change is opened anew and the old one closed after the deadline of what runs over it. The model of the term protocol lets updates of the term arrive late. Conclusion: an accepted configuration now reaches the queues as well.

--- a/packages/placement/tests/test_terms_model.py
+++ b/packages/placement/tests/test_terms_model.py
@@ -73,6 +73,16 @@
     expected: int
 
 
+@dataclass
+class LateTake:
+    """Hold a candidate's update of the term on its way to the store."""
+
+    node: "Node"
+    record: TermRecord
+    expected: int
+    ends: float
+
+
 @dataclass
 class Ask:
     """Hold a permit that is asked for, and the answer on its way."""
@@ -105,6 +115,7 @@
         self.vms = [LocalTables() for _ in range(VMS)]
         self.asks: list[Ask] = []
         self.late_writes: list[LateWrite] = []
+        self.late_takes: list[LateTake] = []
         self.settled_moves = 0
         self.actions = {
             self.pass_time: 6,
@@ -114,6 +125,7 @@
             self.deliver_answer: 1,
             self.lose_message: 1,
             self.take_term: 1,
+            self.land_take: 2,
             self.hand_over: 1,
             self.confirm_at_once: 4,
             self.begin_confirmation: 1,
@@ -209,11 +221,26 @@
             return
         if not taker.candidacy.may_take(self.now):
             return
+        if any(take.node is taker for take in self.late_takes):
+            return
         previous = record.holder
         others = tuple(c for c in record.candidates if c != taker.me)
         wait_s = wait_after(record, holder_stopped=False)
         new = TermRecord(record.number + 1, taker.me, (*others, previous), "w", wait_s)
-        self.begin_term(taker, new)
+        taker.candidacy.begin_update(self.now)
+        ends = taker.candidacy.update_ends
+        self.late_takes.append(LateTake(taker, new, self.term.version, ends))
+
+    def land_take(self, rng):
+        """Let a candidate's update reach the store, if its life hasn't ended."""
+        if not self.late_takes:
+            return
+        take = self.late_takes.pop(rng.randrange(len(self.late_takes)))
+        if self.now >= take.ends:
+            return
+        take.node.candidacy.end_update()
+        if take.expected == self.term.version and take.node.held is None:
+            self.begin_term(take.node, take.record)
 
     def begin_term(self, node, record):
         self.term = Stored(record, self.term.version + 1)
--- a/packages/routing/peridot_routing/fronts.py
+++ b/packages/routing/peridot_routing/fronts.py
@@ -27,8 +27,11 @@
     """Hold what this VM keeps for one target."""
 
     target: Target
+    policy: RoutingPolicy
     queue: SlotQueue
     client: TargetClient
+    # Closes the client.
+    stack: AsyncExitStack
     latency_s: float = FIRST_LATENCY_S
     running: set[asyncio.Task] = field(default_factory=set)
     abandoned: set[asyncio.Task] = field(default_factory=set)
@@ -41,6 +44,7 @@
         if target.leaving and not self.target.leaving:
             self.leaving_since = monotonic()
         self.target = target
+        self.policy = policy
         self.queue.slots = target.slots
         self.queue.queue_length = policy.queue_length
         self.queue.key_share = policy.key_share
@@ -62,13 +66,19 @@
         self.meters: dict[str, LoadMeter] = {}
         self.fronts: dict[str, TargetFront] = {}
         self.lost: set[str] = set()
-        self.stack = AsyncExitStack()
+        self.retiring: set[asyncio.Task] = set()
 
     @asynccontextmanager
     async def run(self) -> AsyncIterator["Fronts"]:
         """Hold the connections of all targets while the context lasts."""
-        async with self.stack:
+        try:
             yield self
+        finally:
+            for task in self.retiring:
+                task.cancel()
+            await asyncio.gather(*self.retiring, return_exceptions=True)
+            for front in self.fronts.values():
+                await front.stack.aclose()
 
     async def dispatch(self, request: RoutedRequest, target_name: str) -> Outcome:
         """Send a request to a target once it has a slot."""
@@ -107,20 +117,38 @@
         }
 
     async def _front(self, name: str, policy: RoutingPolicy) -> TargetFront | None:
+        """Return the front of a target as now declared."""
         target = self.catalog().targets.get(name)
+        front = self.fronts.get(name)
         if target is None:
+            if front is not None:
+                self._retire(self.fronts.pop(name))
             return None
-        front = self.fronts.get(name)
         if front is None:
-            client = await self.stack.enter_async_context(
-                open_client(target.connections)
-            )
-            queue = SlotQueue(target.slots, policy.queue_length, policy.key_share)
-            front = self.fronts.setdefault(name, TargetFront(target, queue, client))
-        if front.target != target:
+            return await self._open(target, policy)
+        if front.target.connections != target.connections:
+            self._retire(self.fronts.pop(name))
+            return await self._open(target, policy)
+        if front.target != target or front.policy != policy:
             front.update(target, policy)
         return front
 
+    async def _open(self, target: Target, policy: RoutingPolicy) -> TargetFront:
+        stack = AsyncExitStack()
+        client = await stack.enter_async_context(open_client(target.connections))
+        queue = SlotQueue(target.slots, policy.queue_length, policy.key_share)
+        front = TargetFront(target, policy, queue, client, stack)
+        known = self.fronts.setdefault(target.name, front)
+        if known is not front:
+            await stack.aclose()
+        return known
+
+    def _retire(self, front: TargetFront) -> None:
+        """Close a front's connections once nothing can run over them any more."""
+        task = asyncio.create_task(_close_later(front))
+        self.retiring.add(task)
+        task.add_done_callback(self.retiring.discard)
+
     async def _send(self, front: TargetFront, request: RoutedRequest) -> Outcome:
         if front.target.name in self.lost:
             return NotRun(Reason.TARGET_LOST)
@@ -197,3 +225,10 @@
         table = assignment.table
         meter = self.meters.setdefault(request.service.name, LoadMeter())
         meter.add(table.starts[table.find(request.key_hash)], request.key_hash)
+
+
+async def _close_later(front: TargetFront) -> None:
+    try:
+        await asyncio.sleep(front.policy.deadline_ms / 1000)
+    finally:
+        await front.stack.aclose()
--- a/packages/routing/tests/test_router.py
+++ b/packages/routing/tests/test_router.py
@@ -184,6 +184,26 @@
     assert asyncio.run(session()) == (Reason.TARGET_LOST, Reason.CONNECTION_REFUSED)
 
 
+def test_front_follows_changes_of_target_and_policy():
+    async def session():
+        async with router_with([ANSWER]) as router:
+            fronts = router.fronts
+            first = await fronts._front("t1", POLICY)
+            longer = replace(POLICY, queue_length=7)
+            assert await fronts._front("t1", longer) is first
+            assert first.queue.queue_length == 7
+            more = {**TARGETS, "t1": replace(TARGETS["t1"], connections=40, slots=9)}
+            catalog = replace(fronts.catalog(), targets=more)
+            fronts.catalog = lambda: catalog
+            second = await fronts._front("t1", longer)
+            assert (second is first, second.queue.slots) == (False, 9)
+            catalog = replace(catalog, targets={})
+            assert await fronts._front("t1", longer) is None
+            assert len(fronts.retiring) == 2
+
+    asyncio.run(session())
+
+
 def test_budget_is_a_share_of_recent_requests():
     budget = RetryBudget(0.1, decayed_at=monotonic())
     for _ in range(100):
