Delay more messages in the model of the term protocol

Change: asks, answers and deliveries on their own are chosen more often, and times just over a permit's length are.

--- a/packages/placement/tests/test_terms_model.py
+++ b/packages/placement/tests/test_terms_model.py
@@ -35,7 +35,7 @@
 TARGETS = ("one", "two", "three")
 NODES = 3
 VMS = 2
-STEPS_OF_TIME_S = (0.01, 0.1, 0.1, 0.3, 0.3, 0.65, 0.75, 2.1, 2.8)
+STEPS_OF_TIME_S = (0.01, 0.05, 0.1, 0.1, 0.3, 0.3, 0.72, 0.72, 2.8)
 ACTIONS_IN_A_BURST = 40
 
 
@@ -118,12 +118,12 @@
         self.late_takes: list[LateTake] = []
         self.settled_moves = 0
         self.actions = {
-            self.pass_time: 6,
+            self.pass_time: 5,
             self.renew: 8,
-            self.ask: 1,
-            self.answer: 2,
-            self.deliver_answer: 1,
-            self.lose_message: 1,
+            self.ask: 3,
+            self.answer: 4,
+            self.deliver_answer: 3,
+            self.lose_message: 0.3,
             self.take_term: 1,
             self.land_take: 2,
             self.hand_over: 1,
@@ -132,9 +132,9 @@
             self.begin_confirmation: 1,
             self.end_confirmation: 1,
             self.gather_promises: 1,
-            self.start_move: 3,
-            self.settle_move: 5,
-            self.land_write: 3,
+            self.start_move: 4,
+            self.settle_move: 6,
+            self.land_write: 5,
             self.call_off_move: 1,
         }
 
