Show status beside each resource, and the data path among the measurements

Cause: operators had to look at the data centres' status to learn whether a resource is in force; the data path's bounds stood outside make measure. Change: get shows what the data centres say of each resource. Conclusion: status is read the same way as the declarations.

--- a/benchmarks/data_path.py
+++ b/benchmarks/data_path.py
@@ -9,13 +9,13 @@
 from absl import app, flags
 
 from benchmarks.bare_proxy import load
+from benchmarks.results import Results
 from peridot_fakes.fleet import DaemonProcess, Fleet, free_ports, open_fleet
 from peridot_fakes.trials import TrialService, write_manifests
 
-flags.DEFINE_float("seconds", 5.0, "Time for each turn.")
-flags.DEFINE_integer("connections", 16, "Connections of the load.")
-flags.DEFINE_integer("turns", 3, "Turns for each path, taken in turn.")
-
+SECONDS = 5.0
+CONNECTIONS = 16
+TURNS = 3
 ONE_HOP_BOUND = 0.6
 TWO_HOP_BOUND = 0.4
 
@@ -29,28 +29,33 @@
     p99: list[float] = field(default_factory=list)
     failures: int = 0
 
+    async def load(self, port: int, seconds: float, connections: int) -> None:
+        """Load a path for a while and add the figures."""
+        rate, histogram, failures = await load(
+            port, seconds, connections, path="/desk/"
+        )
+        self.rates.append(rate)
+        self.p50.append(histogram.get_value_at_percentile(50) / 1000)
+        self.p99.append(histogram.get_value_at_percentile(99) / 1000)
+        self.failures += failures
+
 
-async def run(seconds: float, connections: int, turns: int) -> int:
-    """Print each path's figures and whether the bounds hold."""
+async def measure_data_path(
+    results: Results, seconds: float, connections: int, turns: int
+) -> None:
+    """Load the floor and the daemons' paths in turn; report their shares."""
     async with open_fleet() as fleet:
         paths, processes = await start_paths(fleet)
+        series = {name: Series() for name in paths}
         try:
-            series = {name: Series() for name in paths}
             for _ in range(turns):
                 for name, port in paths.items():
-                    rate, histogram, failures = await load(
-                        port, seconds, connections, path="/desk/"
-                    )
-                    found = series[name]
-                    found.rates.append(rate)
-                    found.p50.append(histogram.get_value_at_percentile(50) / 1000)
-                    found.p99.append(histogram.get_value_at_percentile(99) / 1000)
-                    found.failures += failures
-            return report(series)
+                    await series[name].load(port, seconds, connections)
         finally:
             for process in processes:
                 process.terminate()
                 await process.wait()
+    report(results, series)
 
 
 async def start_paths(fleet: Fleet) -> tuple[dict[str, int], list]:
@@ -103,29 +108,36 @@
     return (one, two) if one.vm == front else (two, one)
 
 
-def report(series: dict[str, Series]) -> int:
-    """Print figures; return how many bounds failed."""
+def report(results: Results, series: dict[str, Series]) -> None:
+    """Report each path's figures and its share of the floor's rate."""
     for name, found in series.items():
-        print(
-            f"path={name} rate={statistics.median(found.rates):.0f}/s "
-            f"p50={statistics.median(found.p50):.2f}ms "
-            f"p99={statistics.median(found.p99):.2f}ms failures={found.failures}"
-        )
+        results.note(f"data_path_{name}_rate", statistics.median(found.rates), "1/s")
+        results.note(f"data_path_{name}_p50", statistics.median(found.p50), "ms")
+        results.note(f"data_path_{name}_p99", statistics.median(found.p99), "ms")
     floor = statistics.median(series["floor"].rates)
-    failed = 0
     for name, bound in (("one_hop", ONE_HOP_BOUND), ("two_hops", TWO_HOP_BOUND)):
-        share = statistics.median(series[name].rates) / floor
-        verdict = "PASS" if share >= bound and not series[name].failures else "FAIL"
-        failed += verdict == "FAIL"
-        print(f"measure data_path_{name} {share:.2f} of_floor {bound} {verdict}")
-    return failed
+        found = series[name]
+        share = statistics.median(found.rates) / floor if not found.failures else 0.0
+        results.at_least(f"data_path_{name}", share, "of_floor", bound)
+
+
+def define_flags() -> None:
+    """Define the flags of this program."""
+    flags.DEFINE_float("seconds", SECONDS, "Time for each turn.")
+    flags.DEFINE_integer("connections", CONNECTIONS, "Connections of the load.")
+    flags.DEFINE_integer("turns", TURNS, "Turns for each path, taken in turn.")
 
 
 def main(argv: list[str]) -> None:
     """Run the comparison."""
     values = flags.FLAGS
-    sys.exit(asyncio.run(run(values.seconds, values.connections, values.turns)))
+    results = Results()
+    asyncio.run(
+        measure_data_path(results, values.seconds, values.connections, values.turns)
+    )
+    sys.exit(results.failed)
 
 
 if __name__ == "__main__":
+    define_flags()
     app.run(main)
--- a/benchmarks/measure.py
+++ b/benchmarks/measure.py
@@ -7,6 +7,12 @@
 
 from benchmarks.balance import measure_balance
 from benchmarks.capacity import measure_capacity, measure_propagation
+from benchmarks.data_path import (
+    CONNECTIONS,
+    SECONDS,
+    TURNS,
+    measure_data_path,
+)
 from benchmarks.policy import measure_policy
 from benchmarks.recovery import measure_recovery
 from benchmarks.results import Results
@@ -47,6 +53,9 @@
 
 
 PARTS = {
+    "data_path": lambda results, values: measure_data_path(
+        results, SECONDS, CONNECTIONS, TURNS
+    ),
     "balance": measure_balance_async,
     "recovery": lambda results, values: measure_recovery(
         results, values.trials, values.seed
--- a/packages/ctl/peridot_ctl/main.py
+++ b/packages/ctl/peridot_ctl/main.py
@@ -150,8 +150,11 @@
     found = await porcelain.get(context.store, to_kinds(arguments[0]), name)
     if isinstance(found, StoreUnavailable):
         return report_unavailable(found)
+    view = await porcelain.status(context.store)
+    if isinstance(view, StoreUnavailable):
+        return report_unavailable(view)
     show = format_json if flags.FLAGS.output == "json" else format_objects
-    print(show(found))
+    print(show(found, view))
     return EXIT_OK if found or name is None else EXIT_INVALID
 
 
--- a/packages/ctl/peridot_ctl/porcelain.py
+++ b/packages/ctl/peridot_ctl/porcelain.py
@@ -52,6 +52,18 @@
     accepted_revision: int
     data_centres: tuple[DataCentreView, ...]
 
+    def describe(self, item: StoredObject) -> str:
+        """Return what the data centres say of a resource."""
+        revisions = [view.status["revision_in_force"] for view in self.data_centres]
+        if not revisions:
+            return "unknown"
+        in_force = "in force" if min(revisions) >= item.version else "accepted"
+        for view in self.data_centres:
+            found = view.status["targets"].get(item.name)
+            if item.kind == Kind.TARGET and found is not None:
+                return f"{in_force}, {found['state']}, {found['owned_slices']} slices"
+        return in_force
+
     def behind(self, revision: int) -> list[str]:
         """Return the VMs that haven't a revision in force."""
         return [
--- a/packages/ctl/peridot_ctl/tables.py
+++ b/packages/ctl/peridot_ctl/tables.py
@@ -20,19 +20,23 @@
     )
 
 
-def format_objects(objects: Iterable[StoredObject]) -> str:
-    """Return a table of stored resources."""
-    rows = [(item.kind, item.name, item.version, _summary(item)) for item in objects]
-    return format_table(("KIND", "NAME", "VERSION", "SUMMARY"), rows)
+def format_objects(objects: Iterable[StoredObject], view: StatusView) -> str:
+    """Return a table of stored resources with their status."""
+    rows = [
+        (item.kind, item.name, item.version, view.describe(item), _summary(item))
+        for item in objects
+    ]
+    return format_table(("KIND", "NAME", "VERSION", "STATUS", "SUMMARY"), rows)
 
 
-def format_json(objects: Iterable[StoredObject]) -> str:
-    """Return stored resources as a JSON list."""
+def format_json(objects: Iterable[StoredObject], view: StatusView) -> str:
+    """Return stored resources with their status as a JSON list."""
     items = [
         {
             "kind": item.kind,
             "name": item.name,
             "version": item.version,
+            "status": view.describe(item),
             **orjson.loads(item.value),
         }
         for item in objects
--- a/packages/ctl/tests/test_porcelain.py
+++ b/packages/ctl/tests/test_porcelain.py
@@ -8,7 +8,7 @@
 from peridot_ctl import porcelain
 from peridot_ctl.errors import Applied, Failed, Raced, Uncertain
 from peridot_platform.objects import MemoryObjectStore
-from peridot_platform.outcomes import Written
+from peridot_platform.outcomes import StoredObject, Written
 from peridot_resources.errors import InvalidManifests
 
 POLICY = '{"kind": "RoutingPolicy", "name": "p", "spec": {"deadlineMs": %d}}'
@@ -132,6 +132,18 @@
     assert last.action == "deleted"
 
 
+def test_status_tells_what_is_in_force_and_how_targets_are():
+    targets = {"t": {"state": "lost", "owned_slices": 4, "moving_slices": 0}}
+    status = {"revision_in_force": 5, "targets": targets}
+    view = porcelain.StatusView(7, (porcelain.DataCentreView("dc", status),))
+    assert view.describe(StoredObject("Target", "t", 5, b"{}")) == (
+        "in force, lost, 4 slices"
+    )
+    assert view.describe(StoredObject("Service", "s", 6, b"{}")) == "accepted"
+    nothing = porcelain.StatusView(7, ())
+    assert nothing.describe(StoredObject("Service", "s", 6, b"{}")) == "unknown"
+
+
 def test_wait_names_the_vm_that_is_behind(files):
     async def session():
         store = MemoryObjectStore()
