Find the new placer at once when the old one is paused

A candidate first asked the paused holder for a sign of life, up to 0.5 s; VMs went back to the paused address, sent there by candidates that still took it for the holder; and they learnt of the new term only through a reader, which could be the paused VM. Change: a candidate looks for nobody; what is known of refused connections says whether the holder is gone. VMs pass over a silent address for 1 s and start again at the holder when a new term is learnt. The test of a promise given meanwhile now gives it during the read of the term, the last thing a candidate awaits; with both checks taken out it fails.

--- a/packages/daemon/peridot_daemon/leases.py
+++ b/packages/daemon/peridot_daemon/leases.py
@@ -25,7 +25,9 @@
 BUSY_PERIOD_S = 0.02
 LOAD_PERIOD_S = 1.0
 RECONNECT_PAUSE_S = 0.02
-REPLY_TIMEOUT_S = 0.4
+REPLY_TIMEOUT_S = 0.35
+# An address that didn't answer is passed over for this long.
+AVOID_SILENT_S = 1.0
 REMEMBERED_ASKS = 64
 
 
@@ -59,27 +61,48 @@
     replied_at: float = float("-inf")
     loads_sent_at: float = float("-inf")
     next_address: str = ""
+    silent_until: dict[str, float] = field(default_factory=dict)
 
     async def run(self) -> None:
         """Keep asking, at one candidate after another, until cancelled."""
         turn = 0
         while True:
-            addresses = self.keeper.addresses_to_ask()
-            if not addresses:
-                await asyncio.sleep(RECONNECT_PAUSE_S)
-                continue
-            address = self.next_address or addresses[turn % len(addresses)]
-            self.next_address = ""
-            turn += 1
-            try:
-                await self._ask_at(address)
-            except ConnectionRefusedError:
-                if self.keeper.record and address == self.keeper.record.holder.address:
-                    self.keeper.note_holder_refused()
-            except LINK_ERRORS:
-                pass
+            addresses = self._addresses()
+            if addresses:
+                address = self.next_address or addresses[turn % len(addresses)]
+                self.next_address = ""
+                turn += 1
+                if await self._ask_until_term_changes(address):
+                    turn = 0
             await asyncio.sleep(RECONNECT_PAUSE_S)
 
+    def _addresses(self) -> list[str]:
+        """Return where to ask, without those that were silent just now."""
+        addresses = self.keeper.addresses_to_ask()
+        now = boot_time()
+        fresh = [item for item in addresses if self.silent_until.get(item, 0.0) <= now]
+        return fresh or addresses
+
+    async def _ask_until_term_changes(self, address: str) -> bool:
+        """Ask at an address until it fails; tell whether a new term began."""
+        changed = self.keeper.term_changed
+        asking = asyncio.create_task(self._ask_at(address))
+        waiting = asyncio.create_task(changed.wait())
+        try:
+            await asyncio.wait((asking, waiting), return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            asking.cancel()
+            waiting.cancel()
+            (outcome, _) = await asyncio.gather(asking, waiting, return_exceptions=True)
+        if isinstance(outcome, ConnectionRefusedError):
+            if self.keeper.record and address == self.keeper.record.holder.address:
+                self.keeper.note_holder_refused()
+        elif isinstance(outcome, TimeoutError):
+            self.silent_until[address] = boot_time() + AVOID_SILENT_S
+        elif isinstance(outcome, Exception) and not isinstance(outcome, LINK_ERRORS):
+            raise outcome
+        return changed.is_set()
+
     def request_ask(self) -> None:
         """Have the next ask go out at once."""
         self.wake.set()
@@ -154,7 +177,8 @@
     def _take(self, reply: pb.LeaseReply) -> bool:
         """Take in a reply; tell whether its sender is the placer."""
         if reply.holder_address:
-            self.next_address = reply.holder_address
+            if self.silent_until.get(reply.holder_address, 0.0) <= boot_time():
+                self.next_address = reply.holder_address
             return False
         if not reply.term:
             return True
--- a/packages/placement/peridot_placement/keeper.py
+++ b/packages/placement/peridot_placement/keeper.py
@@ -108,6 +108,7 @@
         self.heard_at = boot_time()
         self.next_try_at = float("-inf")
         self.holder_gone = False
+        self.term_changed = asyncio.Event()
         self.leaving = False
         self.confirmed_at = float("-inf")
         self.candidates_asked: set[Candidate] = set()
@@ -131,9 +132,15 @@
         if self.record is None or record.number > self.record.number:
             self.heard_at = boot_time()
             self.holder_gone = False
+            self._announce()
         self.record = record
         self.version = stored.version
 
+    def _announce(self) -> None:
+        """Wake whoever waits for a new term."""
+        event, self.term_changed = self.term_changed, asyncio.Event()
+        event.set()
+
     def promise(self, term: int, length_s: float) -> bool:
         """Promise not to take the term, if that can be kept."""
         if self.record is None or term != self.record.number or self.placer:
@@ -230,9 +237,10 @@
             return
         if not self.candidacy.may_take(boot_time()):
             return
-        presence = await self.peers.find_presence(self.record.holder)
+        holder_gone = self.holder_gone
         if self.me not in self.record.candidates:
-            if not await self._all_gone(presence):
+            holder_gone = await self._all_gone()
+            if not holder_gone:
                 self.heard_at = boot_time()
                 return
         record = TermRecord(
@@ -240,17 +248,16 @@
             self.me,
             tuple(item for item in self.record.candidates if item != self.me),
             uuid4().hex,
-            wait_after(self.record, presence is Presence.GONE),
+            wait_after(self.record, holder_gone),
         )
-        # A promise may have been given while the presence was looked up.
+        # A promise may have been given while others were looked for.
         if self.candidacy.may_take(boot_time()):
             await self._store_record(record, self.version)
 
-    async def _all_gone(self, holder: Presence) -> bool:
-        if holder is not Presence.GONE:
-            return False
-        for candidate in self.record.candidates:
-            if await self.peers.find_presence(candidate) is not Presence.GONE:
+    async def _all_gone(self) -> bool:
+        """Tell whether the holder and all candidates are certainly gone."""
+        for member in (self.record.holder, *self.record.candidates):
+            if await self.peers.find_presence(member) is not Presence.GONE:
                 return False
         return True
 
@@ -271,6 +278,7 @@
         if isinstance(outcome, WriteDone):
             self.record = record
             self.version = outcome.version
+            self._announce()
             self.log.write(
                 "term_written",
                 term=record.number,
--- a/packages/placement/tests/test_placer.py
+++ b/packages/placement/tests/test_placer.py
@@ -296,13 +296,16 @@
             keeper.take_record(await site.store.read("Term", "dc"))
             term = keeper.record.number
 
-            async def promise_meanwhile(_):
+            read = site.store.read
+
+            async def promise_meanwhile(kind, name):
+                found = await read(kind, name)
                 assert keeper.promise(term, PROMISE_S)
-                return Presence.SILENT
+                return found
 
-            site.peers.find_presence = promise_meanwhile
+            site.store.read = promise_meanwhile
             await keeper._try_to_take()
-            stored = await site.store.read("Term", "dc")
+            stored = await read("Term", "dc")
             assert parse_term(stored.value).number == term
 
     run(scenario)
