Let a term forget rights that have ended; one signal for changes

After any pause of a placer, the wait of 2.7 s was handed on from term to term for ever, since a successor waits no less than its predecessor had to. Ruled out: recognising that the holder is gone. Change: a holder whose wait is over stores that in its term. The same event that is swapped at each change stood in four places and is now ChangeSignal. Conclusion: the wait ends with the rights that it is for.

--- a/packages/daemon/peridot_daemon/daemon.py
+++ b/packages/daemon/peridot_daemon/daemon.py
@@ -266,7 +266,7 @@
     async def _follow_terms(self) -> None:
         """Tell the keeper of terms that the replica learns."""
         while True:
-            changed = self.replica.changed
+            changed = self.replica.changed.next
             stored = self.replica.stored(Kind.TERM, self.settings.data_centre)
             if stored is not None and not self.keeper.holds_term:
                 self.keeper.take_record(stored)
--- a/packages/daemon/peridot_daemon/leases.py
+++ b/packages/daemon/peridot_daemon/leases.py
@@ -15,6 +15,7 @@
 from peridot_placement.keeper import TermKeeper
 from peridot_placement.loads import LoadMeter, to_rate
 from peridot_placement.permits import LocalTables
+from peridot_placement.signals import wait_for_event
 from peridot_placement.terms import Candidate
 from peridot_routing.fronts import Fronts
 from peridot_routing.router import Vm
@@ -85,7 +86,7 @@
 
     async def _ask_until_term_changes(self, address: str) -> bool:
         """Ask at an address until it fails; tell whether a new term began."""
-        changed = self.keeper.term_changed
+        changed = self.keeper.term_changed.next
         asking = asyncio.create_task(self._ask_at(address))
         waiting = asyncio.create_task(changed.wait())
         try:
@@ -137,11 +138,7 @@
             self.traffic.count(ask)
             await stream.send_message(ask)
             period = BUSY_PERIOD_S if ask.busy else ASK_PERIOD_S
-            try:
-                async with asyncio.timeout(period):
-                    await self.wake.wait()
-            except TimeoutError:
-                pass
+            await wait_for_event(self.wake, period)
 
     def _build_ask(self) -> pb.LeaseAsk:
         now = boot_time()
--- a/packages/daemon/peridot_daemon/peers.py
+++ b/packages/daemon/peridot_daemon/peers.py
@@ -21,6 +21,7 @@
 from peridot_placement.errors import InvariantViolation
 from peridot_placement.keeper import TermKeeper
 from peridot_placement.placer import Placer
+from peridot_placement.signals import wait_for_event
 from peridot_placement.terms import Candidate
 from peridot_resources.catalog import Catalog
 from peridot_routing.outcomes import NotRun, Outcome, Reason
@@ -73,7 +74,7 @@
         known = request.revision
         sent_vms: tuple = ()
         while True:
-            changed = self.replica.changed
+            changed = self.replica.changed.next
             update = pb.SyncUpdate(
                 revision=self.replica.revision,
                 from_store=self.replica.from_store,
@@ -88,11 +89,7 @@
                 self.traffic.count(update)
                 await stream.send_message(update)
                 known = update.revision
-            try:
-                async with asyncio.timeout(SYNC_PERIOD_S):
-                    await changed.wait()
-            except TimeoutError:
-                pass
+            await wait_for_event(changed, SYNC_PERIOD_S)
 
     async def Lease(self, stream: Stream[pb.LeaseAsk, pb.LeaseReply]) -> None:
         first = await stream.recv_message()
@@ -154,7 +151,7 @@
     ) -> None:
         """Send tables and live VMs as soon as they change."""
         while True:
-            await placer.shared.push_event.wait()
+            await placer.shared.pushed.next.wait()
             entry = placer.shared.ledger.entry(holder)
             async with lock:
                 await stream.send_message(
--- a/packages/daemon/peridot_daemon/replica.py
+++ b/packages/daemon/peridot_daemon/replica.py
@@ -1,6 +1,5 @@
 """Replica of the stored objects that this VM serves by; versions only rise."""
 
-import asyncio
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from time import monotonic
@@ -9,6 +8,7 @@
 
 from peridot_placement.assignments import Assignment, parse_assignment, parse_home
 from peridot_placement.decisions import DecisionLog
+from peridot_placement.signals import ChangeSignal
 from peridot_placement.slices import HomeTable
 from peridot_platform.outcomes import Change, DeletedObject, Listing, StoredObject
 from peridot_platform.vms import VmRecord
@@ -45,7 +45,7 @@
     confirmed_at: float = float("-inf")
     reverts_refused: int = 0
     invalid_objects: set[tuple[str, str]] = field(default_factory=set)
-    changed: asyncio.Event = field(default_factory=asyncio.Event)
+    changed: ChangeSignal = field(default_factory=ChangeSignal)
 
     @property
     def loaded(self) -> bool:
@@ -85,13 +85,13 @@
         for change in touched:
             self._take_placement(change)
         if touched:
-            self._notify()
+            self.changed.notify()
 
     def take_vms(self, vms: tuple[VmRecord, ...]) -> None:
         """Take in the platform's VM list."""
         if vms != self.vms:
             self.vms = vms
-            self._notify()
+            self.changed.notify()
 
     def changes_since(self, revision: int) -> list[Change]:
         """Return the last change of each object touched after a revision."""
@@ -103,14 +103,6 @@
         found = self.objects.get((kind, name))
         return found if isinstance(found, StoredObject) else None
 
-    async def wait_for_change(self, timeout_s: float) -> None:
-        """Return when something changes or the time is up."""
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self.changed.wait()
-        except TimeoutError:
-            pass
-
     def _store(self, change: Change) -> bool:
         key = (change.kind, change.name)
         known = self.objects.get(key)
@@ -155,10 +147,6 @@
         elif change.kind == Kind.ASSIGNMENT:
             self.assignments[change.name] = parse_assignment(change.value)
 
-    def _notify(self) -> None:
-        event, self.changed = self.changed, asyncio.Event()
-        event.set()
-
 
 def load_spec(item: StoredObject) -> dict:
     """Return the spec in a stored resource; raise InvalidObject."""
--- a/packages/placement/peridot_placement/keeper.py
+++ b/packages/placement/peridot_placement/keeper.py
@@ -14,6 +14,7 @@
 from peridot_placement.hashing import rank_by_rendezvous
 from peridot_placement.placement_state import PlacementState
 from peridot_placement.placer import Placer
+from peridot_placement.signals import ChangeSignal
 from peridot_placement.terms import (
     CONFIRMATION_S,
     PERMIT_S,
@@ -28,6 +29,7 @@
     serialize_term,
     wait_after,
     wait_after_handover,
+    wait_to_hand_on,
 )
 from peridot_placement.writer import WriteAbandoned, WriteDone, write_durably
 from peridot_platform.objects import ObjectStore
@@ -108,7 +110,7 @@
         self.heard_at = boot_time()
         self.next_try_at = float("-inf")
         self.holder_gone = False
-        self.term_changed = asyncio.Event()
+        self.term_changed = ChangeSignal()
         self.leaving = False
         self.confirmed_at = float("-inf")
         self.candidates_asked: set[Candidate] = set()
@@ -132,15 +134,10 @@
         if self.record is None or record.number > self.record.number:
             self.heard_at = boot_time()
             self.holder_gone = False
-            self._announce()
+            self.term_changed.notify()
         self.record = record
         self.version = stored.version
 
-    def _announce(self) -> None:
-        """Wake whoever waits for a new term."""
-        event, self.term_changed = self.term_changed, asyncio.Event()
-        event.set()
-
     def promise(self, term: int, length_s: float) -> bool:
         """Promise not to take the term, if that can be kept."""
         if self.record is None or term != self.record.number or self.placer:
@@ -278,7 +275,7 @@
         if isinstance(outcome, WriteDone):
             self.record = record
             self.version = outcome.version
-            self._announce()
+            self.term_changed.notify()
             self.log.write(
                 "term_written",
                 term=record.number,
@@ -361,14 +358,16 @@
         )
 
     async def _keep_candidates(self, held: HeldTerm) -> None:
-        """Store new candidates when the live VMs have changed."""
+        """Store new candidates, and once that earlier rights have ended."""
         placer = self.placer
         if not placer.shared.store_available or not placer.live:
             return
         wanted = choose_candidates(placer.live, self.me, held.record.candidates)
-        if wanted == held.record.candidates:
+        wait_s = wait_to_hand_on(held, boot_time())
+        record = replace(held.record, candidates=wanted, earlier_wait_s=wait_s)
+        if record == held.record:
             return
-        record = replace(held.record, candidates=wanted, write_id=uuid4().hex)
+        record = replace(record, write_id=uuid4().hex)
         self.candidates_asked |= set(wanted)
         if await self._store_record(record, self.version):
             held.record = record
--- a/packages/placement/peridot_placement/mover.py
+++ b/packages/placement/peridot_placement/mover.py
@@ -13,6 +13,7 @@
     ServiceState,
     StoreLost,
 )
+from peridot_placement.signals import wait_for_event
 from peridot_placement.slices import (
     HashRange,
     HomeTable,
@@ -59,11 +60,7 @@
                 )
             state = self.shared.states.get(self.name)
             period = PENDING_PERIOD_S if state and state.pending else IDLE_PERIOD_S
-            try:
-                async with asyncio.timeout(period):
-                    await self.waker.wait()
-            except TimeoutError:
-                pass
+            await wait_for_event(self.waker, period)
             self.waker.clear()
 
     async def _place_once(self) -> None:
--- a/packages/placement/peridot_placement/permits.py
+++ b/packages/placement/peridot_placement/permits.py
@@ -1,10 +1,10 @@
 """Permits as their holder sees them, and the tables they cover."""
 
-import asyncio
 from dataclasses import dataclass, field
 
 from peridot_placement.assignments import Assignment
 from peridot_placement.clock import boot_time
+from peridot_placement.signals import ChangeSignal
 
 
 @dataclass
@@ -39,23 +39,14 @@
     permit: Permit = field(default_factory=Permit)
     epoch: tuple[int, int] = (0, 0)
     assignments: dict[str, Assignment] = field(default_factory=dict)
-    changed: asyncio.Event = field(default_factory=asyncio.Event)
-
-    async def wait_for_change(self, timeout_s: float) -> None:
-        """Return when tables change or the time is up."""
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self.changed.wait()
-        except TimeoutError:
-            pass
+    changed: ChangeSignal = field(default_factory=ChangeSignal)
 
     def apply(self, epoch: tuple[int, int], changed: list[Assignment]) -> bool:
         """Take in tables of a newer epoch; tell whether they were taken."""
         if epoch < self.epoch:
             return False
         if epoch > self.epoch:
-            event, self.changed = self.changed, asyncio.Event()
-            event.set()
+            self.changed.notify()
         self.epoch = epoch
         for assignment in changed:
             self.assignments[assignment.service] = assignment
--- a/packages/placement/peridot_placement/placement_state.py
+++ b/packages/placement/peridot_placement/placement_state.py
@@ -16,6 +16,7 @@
 from peridot_placement.errors import check_invariant
 from peridot_placement.ledger import PermitLedger
 from peridot_placement.loads import LoadBook
+from peridot_placement.signals import ChangeSignal
 from peridot_placement.slices import HashRange, HomeTable, SliceTable
 from peridot_placement.terms import HeldTerm
 from peridot_placement.writer import WriteDone, WriteLost, write_durably
@@ -86,7 +87,7 @@
     returned_at: dict[str, float] = field(default_factory=dict)
     known_lost: set[str] = field(default_factory=set)
     write_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
-    push_event: asyncio.Event = field(default_factory=asyncio.Event)
+    pushed: ChangeSignal = field(default_factory=ChangeSignal)
     store_available: bool = True
 
     @property
@@ -96,8 +97,7 @@
 
     def push(self) -> None:
         """Wake every lease stream so that it sends what changed."""
-        event, self.push_event = self.push_event, asyncio.Event()
-        event.set()
+        self.pushed.notify()
 
     async def write(self, state: ServiceState, table: SliceTable) -> None:
         """Store a table durably, then publish it; raise StoreLost otherwise."""
--- a/packages/placement/peridot_placement/terms.py
+++ b/packages/placement/peridot_placement/terms.py
@@ -136,6 +136,13 @@
     return max(with_drift(wait), previous.earlier_wait_s)
 
 
+def wait_to_hand_on(held: HeldTerm, now: float) -> float:
+    """Return what the record should say of earlier rights: 0 once they ended (s)."""
+    if now >= held.earlier_rights_until:
+        return 0.0
+    return held.record.earlier_wait_s
+
+
 def wait_after_handover(held: HeldTerm, now: float) -> float:
     """Return how long the heir of a holder that has stopped must wait (s)."""
     return max(with_drift(PERMIT_S), held.earlier_rights_until - now)
--- a/packages/placement/tests/test_placer.py
+++ b/packages/placement/tests/test_placer.py
@@ -321,6 +321,29 @@
     assert not candidacy.may_take(106.0)
 
 
+def test_wait_for_earlier_rights_is_not_handed_on_once_it_is_over():
+    async def scenario(site):
+        async with site.running("vm1"):
+            placer = await site.placer()
+            site.ask(placer)
+            await site.store.delete("Term", "dc", None)
+
+            async def waits(expected):
+                found = await site.store.read("Term", "dc")
+                if not isinstance(found, StoredObject):
+                    return False
+                for keeper in site.peers.keepers.values():
+                    if keeper.placer is not None:
+                        site.ask(keeper.placer)
+                return (parse_term(found.value).earlier_wait_s > 0) == expected
+
+            await site.until(site.assigned)
+            await site.until(lambda: waits(True))
+            await site.until(lambda: waits(False))
+
+    run(scenario)
+
+
 def test_deleted_term_starts_above_the_assignments_and_waits():
     async def scenario(site):
         async with site.running("vm1"):
--- a/packages/placement/tests/test_terms_model.py
+++ b/packages/placement/tests/test_terms_model.py
@@ -27,6 +27,7 @@
     TermRecord,
     wait_after,
     wait_after_handover,
+    wait_to_hand_on,
 )
 
 SERVICE = "status-desk"
@@ -128,6 +129,7 @@
             self.land_take: 2,
             self.hand_over: 1,
             self.crash: 1,
+            self.forget_earlier_rights: 2,
             self.confirm_at_once: 4,
             self.begin_confirmation: 1,
             self.end_confirmation: 1,
@@ -251,6 +253,17 @@
         node.held.confirm(self.now, record, self.term.version)
         self.adopt(node)
 
+    def forget_earlier_rights(self, rng):
+        """Let a holder that has waited say so in the record."""
+        holder = self.a_holder(rng)
+        if holder is None or holder.held.version != self.term.version:
+            return
+        wait_s = wait_to_hand_on(holder.held, self.now)
+        record = replace(holder.held.record, earlier_wait_s=wait_s)
+        self.term = Stored(record, self.term.version + 1)
+        holder.held.record = record
+        holder.held.version = self.term.version
+
     def crash(self, rng):
         """Let a holder end for good; the term passes to whoever takes it."""
         holder = self.a_holder(rng)
--- a/packages/routing/peridot_routing/router.py
+++ b/packages/routing/peridot_routing/router.py
@@ -290,7 +290,7 @@
             return
         meter = self.outages.setdefault(request.service.name, OutageMeter())
         with meter.wait():
-            await self.tables.wait_for_change(
+            await self.tables.changed.wait(
                 max(0.0, min(pause_s, request.remaining_s()))
             )
 
--- a/packages/routing/peridot_routing/watcher.py
+++ b/packages/routing/peridot_routing/watcher.py
@@ -18,6 +18,7 @@
 )
 from peridot_placement.ledger import BusyRange
 from peridot_placement.permits import LocalTables
+from peridot_placement.signals import wait_for_event
 from peridot_placement.slices import HashRange
 from peridot_resources.catalog import Catalog, Target
 
@@ -104,14 +105,10 @@
             target = self.catalog().targets.get(name)
             if target is None:
                 return
-            changed = self.tables.changed
+            changed = self.tables.changed.next
             outcome = await self._visit(target)
             self._judge(target, health, outcome)
-            try:
-                async with asyncio.timeout(self._pause_s(health, outcome)):
-                    await changed.wait()
-            except TimeoutError:
-                pass
+            await wait_for_event(changed, self._pause_s(health, outcome))
 
     def _pause_s(self, health: TargetHealth, outcome: GrantOutcome) -> float:
         """Return when to visit next: soon if one more failure settles it."""
