Refuse at once what a cut-off data centre owns

Cause: with two data centres cut off from each other, every request for a key of the other one waited out its deadline and ended as unknown: 72 of 169 in 5 s, none refused as not run. A link took itself for connected once its request was written. Change: the peer confirms a link before anything is sent over it, and a link with a request open and no reply for 1 s is opened anew; if that fails, requests are not run. Conclusion: what can't be sent is told apart from what may have run.

--- a/packages/daemon/peridot_daemon/links.py
+++ b/packages/daemon/peridot_daemon/links.py
@@ -3,7 +3,9 @@
 import asyncio
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager, contextmanager, suppress
+from dataclasses import dataclass
 from itertools import count
+from time import monotonic
 
 from grpclib.client import Channel, ServiceMethod, Stream
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
@@ -23,6 +25,8 @@
 CALL_TIMEOUT_S = 0.5
 # An answer that takes this much longer than its deadline won't come.
 LATE_MARGIN_S = 0.1
+# A link with a request open and no reply for this long is opened anew.
+SILENT_LINK_S = 1.0
 LINK_ERRORS = (
     GRPCError,
     ProtocolError,
@@ -58,6 +62,14 @@
                 await stream.cancel()
 
 
+@dataclass(frozen=True)
+class PendingReply:
+    """Hold who waits for a reply and since when."""
+
+    future: asyncio.Future
+    sent_at: float
+
+
 class PeerLink:
     """Carry requests to one peer over one stream, matched by number."""
 
@@ -65,7 +77,8 @@
         self.address = address
         self.tls = tls
         self.numbers = count(1)
-        self.pending: dict[int, asyncio.Future] = {}
+        self.pending: dict[int, PendingReply] = {}
+        self.heard_at = 0.0
         self.outbox: asyncio.Queue[pb.ForwardRequest] = asyncio.Queue()
         self.connected = asyncio.Event()
         self.failed = False
@@ -99,7 +112,10 @@
             await asyncio.gather(self.task, return_exceptions=True)
 
     async def _connect(self) -> bool:
-        """Start the stream if there is none; tell whether it stands."""
+        """Start the stream if there is none that answers; tell whether it stands."""
+        if self._is_silent():
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
         if self.task is None or self.task.done():
             self.connected.clear()
             self.task = asyncio.create_task(self._run())
@@ -116,6 +132,13 @@
             ready.cancel()
         return self.connected.is_set()
 
+    def _is_silent(self) -> bool:
+        """Tell whether the peer has answered nothing for too long."""
+        if not self.pending or not self.connected.is_set():
+            return False
+        oldest = next(iter(self.pending.values())).sent_at
+        return monotonic() - max(oldest, self.heard_at) > SILENT_LINK_S
+
     async def _run(self) -> None:
         """Carry messages both ways until the stream breaks."""
         self.outbox = asyncio.Queue()
@@ -124,6 +147,8 @@
                 async with open_stream(stub.Forward) as stream:
                     async with asyncio.timeout(CONNECT_TIMEOUT_S):
                         await stream.send_request()
+                        await stream.recv_initial_metadata()
+                    self.heard_at = monotonic()
                     self.connected.set()
                     sender = asyncio.create_task(self._send(stream))
                     try:
@@ -144,7 +169,7 @@
     @contextmanager
     def _expect(self, number: int) -> Iterator[asyncio.Future]:
         reply = asyncio.get_running_loop().create_future()
-        self.pending[number] = reply
+        self.pending[number] = PendingReply(reply, monotonic())
         try:
             yield reply
         finally:
@@ -152,13 +177,14 @@
 
     def _resolve(self, reply: pb.ForwardReply) -> None:
         """Hand a reply to whom it belongs; nobody gets a late one."""
-        future = self.pending.get(reply.id)
-        if future is not None and not future.done():
-            future.set_result(reply)
+        self.heard_at = monotonic()
+        pending = self.pending.get(reply.id)
+        if pending is not None and not pending.future.done():
+            pending.future.set_result(reply)
 
     def _fail_all(self) -> None:
-        for future in self.pending.values():
-            future.cancel()
+        for pending in self.pending.values():
+            pending.future.cancel()
 
     def _cancel(self, number: int) -> None:
         self.outbox.put_nowait(pb.ForwardRequest(id=number, cancel=True))
--- a/packages/daemon/peridot_daemon/peers.py
+++ b/packages/daemon/peridot_daemon/peers.py
@@ -55,6 +55,7 @@
         self.forwarded = 0
 
     async def Forward(self, stream: Stream[pb.ForwardRequest, pb.ForwardReply]) -> None:
+        await stream.send_initial_metadata()
         replies: asyncio.Queue[pb.ForwardReply] = asyncio.Queue()
         tasks: dict[int, asyncio.Task] = {}
         sender = asyncio.create_task(_send_replies(stream, replies))
--- a/packages/fakes/peridot_fakes/fleet.py
+++ b/packages/fakes/peridot_fakes/fleet.py
@@ -106,6 +106,7 @@
     targets: list[TargetProcess] = field(default_factory=list)
     # Where the daemons of a data centre reach the platform, if not directly.
     platform_urls: dict[str, str] = field(default_factory=dict)
+    vm_list_urls: dict[str, str] = field(default_factory=dict)
 
     @property
     def platform_url(self) -> str:
@@ -167,7 +168,7 @@
             "peer_listener": f"127.0.0.1:{daemon.peer_port}",
             "admin_listener": f"127.0.0.1:{daemon.admin_port}",
             "object_api": platform_url,
-            "vm_list": platform_url,
+            "vm_list": self.vm_list_urls.get(daemon.data_centre, platform_url),
             "log_sample": self.log_sample,
             "insecure_peers": True,
         }
