Keep the placer's own lease when only its candidates change

Cause: found by reading: the signal of a new term was also given when the placer stored new candidates; its own lease was then opened anew, and its VM left and came back to the list of live VMs, which moved its fronts twice. Change: the signal is given for a higher term only. Conclusion: a change of candidates moves no front.

--- a/packages/placement/peridot_placement/keeper.py
+++ b/packages/placement/peridot_placement/keeper.py
@@ -273,9 +273,11 @@
         if outcome != WriteAbandoned(known=False):
             self.candidacy.end_update()
         if isinstance(outcome, WriteDone):
+            new_term = self.record is None or record.number > self.record.number
             self.record = record
             self.version = outcome.version
-            self.term_changed.notify()
+            if new_term:
+                self.term_changed.notify()
             self.log.write(
                 "term_written",
                 term=record.number,
--- a/packages/placement/tests/test_placer.py
+++ b/packages/placement/tests/test_placer.py
@@ -321,6 +321,24 @@
     assert not candidacy.may_take(106.0)
 
 
+def test_new_candidates_do_not_look_like_a_new_term():
+    async def scenario(site):
+        async with site.running("vm1"):
+            placer = await site.placer()
+            (keeper,) = site.peers.keepers.values()
+            before = keeper.term_changed.next
+
+            async def has_candidate():
+                site.ask(placer, "vm2")
+                stored = await site.store.read("Term", "dc")
+                return bool(parse_term(stored.value).candidates)
+
+            await site.until(has_candidate, placer)
+            assert not before.is_set()
+
+    run(scenario)
+
+
 def test_wait_for_earlier_rights_is_not_handed_on_once_it_is_over():
     async def scenario(site):
         async with site.running("vm1"):
