Admit fewer classes at the entry while a service is over capacity

Cause: only fronts refused by class, one target at a time, after the request had crossed the entry and the link. Change: each entry admits one class less of a service each second while over a fifth of its requests find their target overloaded, the highest in use always. Conclusion: a service with one class is treated as before.

--- a/packages/routing/peridot_routing/router.py
+++ b/packages/routing/peridot_routing/router.py
@@ -14,6 +14,7 @@
 from peridot_placement.permits import LocalTables
 from peridot_placement.slices import HomeTable
 from peridot_resources.catalog import Catalog, Target
+from peridot_routing.admission import Admission
 from peridot_routing.budgets import RetryBudget
 from peridot_routing.costs import TargetCosts
 from peridot_routing.fronts import Fronts
@@ -28,6 +29,8 @@
 OWNER_RETRY_S = 0.02
 LOST_OWNER_RETRY_S = 0.25
 RANKING_CACHE_LENGTH = 20_000
+# A class that isn't admitted may come back after this long.
+ADMISSION_RETRY_MS = 1_000
 
 # The slice gets an owner, or this VM a permit, soon.
 WAITING_REASONS = frozenset((Reason.SLICE_MOVING, Reason.NO_PERMIT, Reason.NOT_OWNER))
@@ -114,6 +117,7 @@
         self.catalog = catalog
         self.log = log
         self.rng = rng
+        self.admissions: dict[str, Admission] = {}
         self.costs = TargetCosts()
         self.outages: dict[str, OutageMeter] = {}
         self.budgets: dict[str, RetryBudget] = {}
@@ -125,6 +129,15 @@
 
     async def handle(self, request: RoutedRequest) -> Outcome:
         """Return the final outcome of a request."""
+        admission = self.admissions.setdefault(request.service.name, Admission())
+        if not admission.admits(request.priority):
+            return NotRun(Reason.OVERLOADED, ADMISSION_RETRY_MS, "class not admitted")
+        outcome = await self._attempt_until_final(request)
+        refused = isinstance(outcome, NotRun)
+        admission.note(refused and outcome.reason is Reason.OVERLOADED)
+        return outcome
+
+    async def _attempt_until_final(self, request: RoutedRequest) -> Outcome:
         budget = self._budget(request)
         budget.note_request()
         began = monotonic()
