Let permits last 0.9 s, so that a paused placer is replaced in time

A candidate acts 0.35 to 0.40 s after the last word, stores its term and adopts what stands; VMs find it by 0.45 s; permits of 0.7 s, counted from asks up to 0.15 s old, leave 0.1 s to spare, which a busy machine uses up. Change: permits last 0.9 s. What waits for a permit's end (moves past a silent VM, the first moves of a new term) waits 0.2 s longer; losses of a target alone don't.

--- a/packages/placement/peridot_placement/terms.py
+++ b/packages/placement/peridot_placement/terms.py
@@ -13,7 +13,7 @@
 # A placer stops giving rights when its term is unconfirmed for this long.
 CONFIRMATION_S = 2.0
 PROMISE_S = 2.0
-PERMIT_S = 0.7
+PERMIT_S = 0.9
 # A candidate takes the term after this long without a word from the placer.
 SILENCE_S = 0.35
 # An update is repeated for so long; a single call takes at most two seconds, and
