Take the store's version out of the golden session

Cause: in a fresh clone the golden session differed in one number: the version of desk-3 was 10 instead of 11. Versions count every write of the store, and the placer writes its first assignment and term with a timing of its own. Ruled out: the table, the states and all counts, which were equal. Change: that number is replaced like addresses and times; the status, owner counts and answers beside it stay. Conclusion: the check is as strict on everything the session decides.

--- a/packages/fakes/tests/test_session.py
+++ b/packages/fakes/tests/test_session.py
@@ -18,6 +18,8 @@
     (re.compile(r"\d{4}-\d\d-\d\dT[\d:]+\+00:00"), "TIME"),
     (re.compile(r"instance=\w+"), "instance=ID"),
     (re.compile(r"took_ms=\d+"), "took_ms=N"),
+    # Versions count all writes of the store, also those of the placer.
+    (re.compile(r"(Target +desk-3 +)\d+ +"), r"\1REVISION  "),
 )
 
 
