--- a/packages/daemon/peridot_daemon/links.py
+++ b/packages/daemon/peridot_daemon/links.py
@@ -81,7 +81,6 @@
         self.heard_at = 0.0
         self.outbox: asyncio.Queue[pb.ForwardRequest] = asyncio.Queue()
         self.connected = asyncio.Event()
-        self.failed = False
         self.task: asyncio.Task | None = None
 
     async def forward(self, request: RoutedRequest, target: str) -> Outcome:
