--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,8 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := wire resources platform placement routing daemon ctl fakes
+PACKAGES := $(addprefix packages/,wire resources objects placement routing ownership daemon \
+	gateway ctl fakes) platform
 SEED ?= 1
 SECONDS ?= 60
 
@@ -9,13 +10,13 @@
 
 setup: $(VENV)/.ready
 
-$(VENV)/.ready: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/.ready: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install -q --disable-pip-version-check \
 		-c constraints.txt hatchling editables
 	$(BIN)/python -m pip install -q --disable-pip-version-check --no-build-isolation \
 		-c constraints.txt -r requirements-dev.txt \
-		$(foreach package,$(PACKAGES),-e packages/$(package))
+		$(foreach package,$(PACKAGES),-e $(package))
 	touch $@
 
 demo: setup
@@ -42,7 +43,7 @@
 	$(BIN)/python -m benchmarks.data_path
 
 stubs:
-	cd packages/wire/peridot_wire && $(abspath $(BIN))/python -m grpc_tools.protoc \
+	cd packages/wire/peridot_wire && PATH="$(abspath $(BIN)):$$PATH" $(abspath $(BIN))/python -m grpc_tools.protoc \
 		-I. --python_out=. --grpclib_python_out=. peridot.proto
 	sed -i 's/^import peridot_pb2/from peridot_wire import peridot_pb2/' \
 		packages/wire/peridot_wire/peridot_grpc.py
--- a/benchmarks/datagrams.py
+++ b/benchmarks/datagrams.py
@@ -11,11 +11,11 @@
 
 import uvloop
 
+from peridot_objects.objects import MemoryObjectStore
 from peridot_placement.decisions import MemoryDecisionLog
 from peridot_placement.placement_state import PlacementState
 from peridot_placement.placer import Placer
 from peridot_placement.terms import Candidate, HeldTerm, TermRecord
-from peridot_platform.objects import MemoryObjectStore
 from peridot_resources.catalog import Catalog
 from peridot_wire import peridot_pb2 as pb
 
--- a/packages/ctl/peridot_ctl/main.py
+++ b/packages/ctl/peridot_ctl/main.py
@@ -19,9 +19,9 @@
     format_objects,
     format_status,
 )
-from peridot_platform.http_objects import HttpObjectStore
-from peridot_platform.objects import ObjectStore
-from peridot_platform.outcomes import StoreUnavailable
+from peridot_objects.http_objects import HttpObjectStore
+from peridot_objects.objects import ObjectStore
+from peridot_objects.outcomes import StoreUnavailable
 from peridot_resources.catalog import CONFIGURATION_KINDS
 from peridot_resources.errors import InvalidManifests
 
--- a/packages/ctl/peridot_ctl/porcelain.py
+++ b/packages/ctl/peridot_ctl/porcelain.py
@@ -11,8 +11,8 @@
 from aiohttp import ClientSession
 
 from peridot_ctl.errors import ActionOutcome, Applied, Failed, Raced, Uncertain
-from peridot_platform.objects import ObjectStore
-from peridot_platform.outcomes import (
+from peridot_objects.objects import ObjectStore
+from peridot_objects.outcomes import (
     Change,
     Conflict,
     Listing,
--- a/packages/ctl/peridot_ctl/tables.py
+++ b/packages/ctl/peridot_ctl/tables.py
@@ -5,7 +5,7 @@
 import orjson
 
 from peridot_ctl.porcelain import StatusView
-from peridot_platform.outcomes import Change, DeletedObject, StoredObject
+from peridot_objects.outcomes import Change, DeletedObject, StoredObject
 
 
 def format_table(header: Sequence[str], rows: Iterable[Sequence[object]]) -> str:
--- a/packages/ctl/tests/test_porcelain.py
+++ b/packages/ctl/tests/test_porcelain.py
@@ -7,8 +7,8 @@
 
 from peridot_ctl import porcelain
 from peridot_ctl.errors import Applied, Failed, Raced, Uncertain
-from peridot_platform.objects import MemoryObjectStore
-from peridot_platform.outcomes import StoredObject, Written
+from peridot_objects.objects import MemoryObjectStore
+from peridot_objects.outcomes import StoredObject, Written
 from peridot_resources.errors import InvalidManifests
 
 POLICY = '{"kind": "RoutingPolicy", "name": "p", "spec": {"deadlineMs": %d}}'
--- a/packages/daemon/peridot_daemon/daemon.py
+++ b/packages/daemon/peridot_daemon/daemon.py
@@ -23,6 +23,8 @@
 from peridot_daemon.status import StatusWriter
 from peridot_daemon.tls import PeerTls
 from peridot_daemon.topology import ReplicaTopology
+from peridot_objects.http_objects import HttpObjectStore
+from peridot_objects.vms import HttpVmList
 from peridot_placement.clock import boot_time
 from peridot_placement.decisions import DecisionLog
 from peridot_placement.errors import ViolationCounter
@@ -31,8 +33,6 @@
 from peridot_placement.keeper import TermKeeper
 from peridot_placement.permits import LocalTables
 from peridot_placement.terms import Candidate
-from peridot_platform.http_objects import HttpObjectStore
-from peridot_platform.vms import HttpVmList
 from peridot_resources.catalog import Catalog, Kind, Target
 from peridot_routing.fronts import Fronts
 from peridot_routing.router import Router, Vm
--- a/packages/daemon/peridot_daemon/logs.py
+++ b/packages/daemon/peridot_daemon/logs.py
@@ -1,4 +1,4 @@
-"""Logs: one line of key=value pairs for each event, on standard error."""
+"""Logs: one line of key=value pairs for each event, on standard output."""
 
 import asyncio
 import random
@@ -63,8 +63,8 @@
 
 @contextmanager
 def open_log(level: str) -> Iterator[BufferedLineHandler]:
-    """Send log lines to standard error while the context lasts."""
-    handler = BufferedLineHandler(sys.stderr, lookup_level(level.upper()))
+    """Send log lines to standard output while the context lasts."""
+    handler = BufferedLineHandler(sys.stdout, lookup_level(level.upper()))
     with handler.applicationbound():
         try:
             yield handler
--- a/packages/daemon/peridot_daemon/messages.py
+++ b/packages/daemon/peridot_daemon/messages.py
@@ -3,9 +3,9 @@
 from functools import singledispatch
 from time import monotonic
 
+from peridot_objects.outcomes import Change, DeletedObject, StoredObject
+from peridot_objects.vms import VmRecord, VmState
 from peridot_placement.hashing import hash_key
-from peridot_platform.outcomes import Change, DeletedObject, StoredObject
-from peridot_platform.vms import VmRecord, VmState
 from peridot_resources.catalog import Catalog
 from peridot_routing.matching import is_idempotent
 from peridot_routing.outcomes import Answered, NotRun, Outcome, Reason, Unknown
--- a/packages/daemon/peridot_daemon/replica.py
+++ b/packages/daemon/peridot_daemon/replica.py
@@ -6,12 +6,12 @@
 
 import orjson
 
+from peridot_objects.outcomes import Change, DeletedObject, Listing, StoredObject
+from peridot_objects.vms import VmRecord
 from peridot_placement.assignments import Assignment, parse_assignment, parse_home
 from peridot_placement.decisions import DecisionLog
 from peridot_placement.signals import ChangeSignal
 from peridot_placement.slices import HomeTable
-from peridot_platform.outcomes import Change, DeletedObject, Listing, StoredObject
-from peridot_platform.vms import VmRecord
 from peridot_resources.catalog import (
     CONFIGURATION_KINDS,
     Catalog,
--- a/packages/daemon/peridot_daemon/sources.py
+++ b/packages/daemon/peridot_daemon/sources.py
@@ -8,11 +8,11 @@
 from peridot_daemon.metrics import ControlTraffic
 from peridot_daemon.replica import WATCHED_KINDS, Replica
 from peridot_daemon.tls import PeerTls
+from peridot_objects.objects import ObjectStore
+from peridot_objects.outcomes import Listing, RevisionTooOld, WatchBatch
+from peridot_objects.vms import VmList, VmListing
 from peridot_placement.decisions import DecisionLog
 from peridot_placement.hashing import rank_by_rendezvous
-from peridot_platform.objects import ObjectStore
-from peridot_platform.outcomes import Listing, RevisionTooOld, WatchBatch
-from peridot_platform.vms import VmList, VmListing
 from peridot_routing.router import Vm
 from peridot_wire import peridot_pb2 as pb
 
--- a/packages/daemon/peridot_daemon/status.py
+++ b/packages/daemon/peridot_daemon/status.py
@@ -7,10 +7,10 @@
 import orjson
 
 from peridot_daemon.replica import Replica
+from peridot_objects.objects import ObjectStore
 from peridot_placement.clock import boot_time
 from peridot_placement.keeper import TermKeeper
 from peridot_placement.placer import Placer
-from peridot_platform.objects import ObjectStore
 from peridot_resources.catalog import Kind
 
 STATUS_PERIOD_S = 1.0
--- a/packages/daemon/peridot_daemon/topology.py
+++ b/packages/daemon/peridot_daemon/topology.py
@@ -4,9 +4,9 @@
 
 from peridot_daemon.leases import LiveView
 from peridot_daemon.replica import Replica
+from peridot_objects.vms import VmState
 from peridot_placement.assignments import Assignment, assignment_name
 from peridot_placement.slices import HomeTable
-from peridot_platform.vms import VmState
 from peridot_routing.router import Topology, Vm
 from peridot_routing.watcher import TargetWatcher
 
--- a/packages/daemon/tests/test_replica.py
+++ b/packages/daemon/tests/test_replica.py
@@ -4,8 +4,8 @@
 from hypothesis import given, settings, strategies as st
 
 from peridot_daemon.replica import Replica
+from peridot_objects.outcomes import DeletedObject, Listing, StoredObject
 from peridot_placement.decisions import MemoryDecisionLog
-from peridot_platform.outcomes import DeletedObject, Listing, StoredObject
 from peridot_resources.manifests import parse_manifests
 from peridot_resources.models import dump_spec
 
--- a/packages/fakes/peridot_fakes/fleet.py
+++ b/packages/fakes/peridot_fakes/fleet.py
@@ -16,8 +16,8 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
 
 from peridot_ctl import porcelain
-from peridot_platform.http_objects import HttpObjectStore
-from peridot_platform.vms import VmRecord, VmState
+from peridot_objects.http_objects import HttpObjectStore
+from peridot_objects.vms import VmRecord, VmState
 from peridot_resources.manifests import read_manifests
 from peridot_resources.models import TargetManifest
 
@@ -176,7 +176,7 @@
         file.write_bytes(orjson.dumps(settings))
         with daemon.log_file.open("ab") as log:
             daemon.process = await self._spawn(
-                "peridot_daemon.main", f"--settings={file}", stderr=log
+                "peridot_daemon.main", f"--settings={file}", stdout=log
             )
 
     async def wait_ready(self) -> None:
@@ -298,13 +298,13 @@
         async with self.session.post(url, data=orjson.dumps(form)) as answer:
             await answer.read()
 
-    async def _spawn(self, module: str, *arguments: str, stderr=None):
+    async def _spawn(self, module: str, *arguments: str, stdout=None):
         return await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
             module,
             *arguments,
-            stderr=stderr,
+            stdout=stdout,
             env={**os.environ, "PYTHONDONTWRITEBYTECODE": "1"},
         )
 
--- a/packages/fakes/peridot_fakes/platform.py
+++ b/packages/fakes/peridot_fakes/platform.py
@@ -8,9 +8,9 @@
 from absl import app, flags
 from aiohttp import web
 
-from peridot_platform.codec import serialize_change
-from peridot_platform.objects import MemoryObjectStore
-from peridot_platform.outcomes import (
+from peridot_objects.codec import serialize_change
+from peridot_objects.objects import MemoryObjectStore
+from peridot_objects.outcomes import (
     Conflict,
     Missing,
     Rejected,
@@ -21,7 +21,7 @@
     WriteUnknown,
     Written,
 )
-from peridot_platform.vms import VmRecord, VmState, serialize_vms
+from peridot_objects.vms import VmRecord, VmState, serialize_vms
 
 MAX_REQUEST_BYTES = 2_000_000
 VM_LIST_LAG_S = 2.0
--- a/packages/fakes/tests/test_partition.py
+++ b/packages/fakes/tests/test_partition.py
@@ -12,7 +12,7 @@
 from peridot_fakes.load import Call, run_load
 from peridot_fakes.relay import Relay
 from peridot_fakes.trials import TrialService, write_manifests
-from peridot_platform.vms import serialize_vms
+from peridot_objects.vms import serialize_vms
 
 CUT_S = 4.0
 CATCH_UP_S = 6.0
--- /dev/null
+++ b/packages/gateway/peridot_gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon for targets that enforce holds: each VM sends to them itself."""
--- /dev/null
+++ b/packages/gateway/peridot_gateway/daemon.py
@@ -0,0 +1,282 @@
+"""The gateway daemon: builds its parts, runs them, and stops them gracefully."""
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, fields
+from pathlib import Path
+from time import monotonic
+from uuid import uuid4
+
+from aiohttp import web
+from aiomisc import Service
+from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
+
+from peridot_daemon.metrics import Metrics
+from peridot_daemon.settings import split_address
+from peridot_gateway.admission import Admission
+from peridot_gateway.dialect import Dialect
+from peridot_gateway.estimates import Estimates
+from peridot_gateway.fleet import Fleet, FleetParts
+from peridot_gateway.fleetload import FleetLoad
+from peridot_gateway.ingress import Ingress
+from peridot_gateway.links import serve_fleet
+from peridot_gateway.owners import Owners
+from peridot_gateway.picker import Picker
+from peridot_gateway.router import GatewayRouter, RouterParts
+from peridot_gateway.sender import Sender
+from peridot_gateway.settings import GatewaySettings
+from peridot_gateway.sources import ConfigurationSource, TargetSource
+from peridot_objects.objects import ObjectStore
+from peridot_ownership.holds import HoldControl
+from peridot_ownership.record import Holder
+from peridot_placement.decisions import DecisionLog
+
+RESTART_PAUSE_S = 0.2
+# Balancers that ask once a second and need two misses send no more after this.
+NOTICE_S = 2.6
+# Part of the stop's time that is kept for ending the process.
+STOP_MARGIN_S = 0.5
+DRAIN_POLL_S = 0.02
+# The connections of targets that are gone are closed at this period.
+SWEEP_S = 5.0
+# The settings file may change without a signal.
+SETTINGS_CHECK_S = 1.0
+
+
+@dataclass(frozen=True)
+class Surroundings:
+    """Hold what an adapter provides."""
+
+    store: ObjectStore
+    control: HoldControl
+    dialect: Dialect
+    settings_file: Path
+    # Reads the settings file again; raises the error named below.
+    reload_settings: Callable[[], GatewaySettings]
+    settings_error: type[Exception]
+
+
+class Gateway(Service):
+    """Hold the parts of one gateway; a part that fails is started again."""
+
+    settings: GatewaySettings
+    surroundings: Surroundings
+    log: DecisionLog
+    flush_log: Callable[[], Coroutine]
+
+    async def start(self) -> None:
+        """Build all parts and start listening."""
+        self.stack = AsyncExitStack()
+        self.tasks: list[asyncio.Task] = []
+        self.stopped = asyncio.Event()
+        self.metrics = Metrics()
+        self._build()
+        await self._listen()
+        self._run_part("configuration", self.configuration.run)
+        self._run_part("targets", self.targets.run)
+        self._run_part("fleet", self.fleet.run)
+        self._run_part("log", self.flush_log)
+        self._run_part("sweep", self._sweep_connections)
+        self._run_part("settings", self._follow_settings)
+        self._add_gauges()
+        self.log.write(
+            "started",
+            vm=self.settings.vm,
+            data_centre=self.settings.data_centre,
+            instance=self.me.instance,
+            callers=self.settings.caller_listener,
+        )
+        self.start_event.set()
+        await self.stopped.wait()
+
+    def _build(self) -> None:
+        settings, log = self.settings, self.log
+        store, dialect = self.surroundings.store, self.surroundings.dialect
+        rng = random.Random()
+        self.me = Holder(settings.vm, uuid4().hex, settings.fleet_listener)
+        self.configuration = ConfigurationSource(store, dialect, log)
+        self.targets = TargetSource(store, dialect, log)
+        self.estimates = Estimates()
+        self.owners = Owners()
+        self.sender = Sender(dialect, self.estimates)
+        parts = RouterParts(
+            self.owners,
+            self.targets,
+            self.estimates,
+            Picker(settings.data_centre, self.estimates, rng),
+            Admission(self.estimates),
+            self.sender,
+            log,
+            rng,
+        )
+        self.router = GatewayRouter(parts, settings.repeats, lambda: self.fleet.vms())
+        self.load = FleetLoad(self.configuration, self.targets)
+        self.fleet = Fleet(
+            self.me,
+            settings.data_centre,
+            FleetParts(
+                store,
+                self.surroundings.control,
+                self.load,
+                self.owners,
+                self.estimates,
+                self.router,
+                log,
+                rng,
+                settings.hold_max_s,
+                lambda: self.configuration.reachable,
+            ),
+        )
+        self.ingress = Ingress(
+            dialect, self.configuration, self.router, self.metrics, log, rng
+        )
+
+    async def _listen(self) -> None:
+        enter = self.stack.enter_async_context
+        settings = self.settings
+        self.stack.push_async_callback(self.sender.close)
+        await enter(serve_fleet(self.fleet.server, settings.fleet_listener))
+        await enter(serve_pages(settings.ready_listener, self._ready_page))
+        await enter(serve_pages(settings.metrics_listener, self._metrics_page))
+        self.site = await enter(self.ingress.serve(settings.caller_listener))
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Leave the rotation, finish what is open, and stop."""
+        began = monotonic()
+        ends = began + self.settings.stop_timeout_s - STOP_MARGIN_S
+        self.log.write("stopping", open_requests=self.ingress.open_requests)
+        self.ingress.stopping = True
+        self.fleet.leaving = True
+        await asyncio.sleep(min(NOTICE_S, self.settings.stop_timeout_s / 2))
+        await self.site.stop()
+        while self._is_busy() and monotonic() < ends:
+            await asyncio.sleep(DRAIN_POLL_S)
+        cut = self.ingress.open_requests
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.stack.aclose()
+        self.log.write("stopped", cut_requests=cut, took=round(monotonic() - began, 2))
+        self.stopped.set()
+
+    def is_ready(self) -> bool:
+        """Tell whether callers may be sent here."""
+        return (
+            self.configuration.loaded
+            and self.configuration.configuration.version > 0
+            and self.targets.loaded
+            and not self.ingress.stopping
+        )
+
+    def reload(self) -> None:
+        """Read the settings again; unreadable ones leave the last in force."""
+        try:
+            settings = self.surroundings.reload_settings()
+        except self.surroundings.settings_error as error:
+            self.log.write("reload_failed", reason=error)
+            return
+        changed = [
+            field.name
+            for field in fields(settings)
+            if getattr(settings, field.name) != getattr(self.settings, field.name)
+        ]
+        self.log.write("reloaded", changed=",".join(changed) or "-")
+        self.settings = settings
+        self.router.set_terms(settings.repeats)
+        self.fleet.parts.hold_max_s = settings.hold_max_s
+
+    async def _follow_settings(self) -> None:
+        """Reload the settings whenever their file changes."""
+        seen = self._settings_time()
+        while True:
+            await asyncio.sleep(SETTINGS_CHECK_S)
+            found = self._settings_time()
+            if found != seen:
+                seen = found
+                self.reload()
+
+    def _settings_time(self) -> int | None:
+        try:
+            return self.surroundings.settings_file.stat().st_mtime_ns
+        except OSError:
+            return None
+
+    def _is_busy(self) -> bool:
+        return bool(self.ingress.open_requests or self.ingress.orders)
+
+    def _ready_page(self, request: web.BaseRequest) -> web.Response:
+        if request.path != self.surroundings.dialect.ready_path:
+            return web.Response(status=404)
+        return web.Response(status=200 if self.is_ready() else 503)
+
+    def _metrics_page(self, request: web.BaseRequest) -> web.Response:
+        body = generate_latest(self.metrics.registry)
+        return web.Response(body=body, headers={"Content-Type": CONTENT_TYPE_LATEST})
+
+    async def _sweep_connections(self) -> None:
+        """Close the connections of targets that are gone."""
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            names = set(self.targets.targets)
+            for name in set(self.sender.connections) - names:
+                if not self.estimates.of(name).in_flight:
+                    await self.sender.drop(name)
+            self.estimates.forget_all_but(names)
+
+    def _run_part(self, name: str, run: Callable[[], Coroutine]) -> None:
+        self.tasks.append(asyncio.create_task(self._restart(name, run), name=name))
+
+    async def _restart(self, name: str, run: Callable[[], Coroutine]) -> None:
+        """Run a part again whenever it fails."""
+        while True:
+            try:
+                await run()
+                return
+            except asyncio.CancelledError:
+                raise
+            except Exception as error:
+                self.log.write("part_failed", part=name, error=repr(error))
+                await asyncio.sleep(RESTART_PAUSE_S)
+
+    def _add_gauges(self) -> None:
+        gauges = self.metrics.gauges
+        gauges.add(
+            "configuration_version",
+            "Version of the configuration in force here.",
+            lambda: self.configuration.configuration.version,
+        )
+        gauges.add(
+            "targets_age_seconds",
+            "Time since the list of targets was known to be current.",
+            lambda: min(self.targets.age_s, 1e9),
+        )
+        gauges.add(
+            "term_held", "1 on the placer.", lambda: self.fleet.placer is not None
+        )
+        gauges.add("repeats", "Attempts after the first.", lambda: self.router.repeats)
+        gauges.add(
+            "open_requests", "Requests of callers.", lambda: self.ingress.open_requests
+        )
+        gauges.add(
+            "range_moves",
+            "Key ranges that this placer moved.",
+            lambda: self.fleet.placer.moves if self.fleet.placer else 0,
+        )
+
+
+@asynccontextmanager
+async def serve_pages(address: str, page: Callable):
+    """Serve one page while the context lasts."""
+
+    async def handle(request: web.BaseRequest) -> web.Response:
+        return page(request)
+
+    runner = web.ServerRunner(web.Server(handle, access_log=None), shutdown_timeout=0.1)
+    await runner.setup()
+    try:
+        await web.TCPSite(runner, *split_address(address)).start()
+        yield
+    finally:
+        await runner.cleanup()
--- /dev/null
+++ b/packages/gateway/peridot_gateway/estimates.py
@@ -0,0 +1,114 @@
+"""Estimates of targets: load, work time and failures, as seen by senders."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from time import monotonic
+
+from peridot_gateway.dialect import LoadHint
+
+# Weight of a new sample in moving averages.
+WORK_WEIGHT = 0.15
+FAILURE_WEIGHT = 0.15
+# A failure rate has half faded after this time, so that a target is tried again.
+FAILURE_HALF_LIFE_S = 3.0
+# Work time (s) of a target before any was seen.
+FIRST_WORK_S = 0.25
+# What others have in flight counts until it is this old (s).
+FLEET_LIFE_S = 2.0
+# Targets that refused or didn't accept a connection are passed over this long.
+AVOID_S = 0.5
+
+
+@dataclass
+class TargetEstimate:
+    """Hold what is known of one target."""
+
+    in_flight: int = 0
+    # Requests of other VMs in flight, and when that was learnt (s).
+    others_in_flight: int = 0
+    others_at: float = float("-inf")
+    work_s: float = FIRST_WORK_S
+    measured: bool = False
+    failure_rate: float = 0.0
+    failure_at: float = 0.0
+    avoid_until: float = 0.0
+    # Since the last report to the placer.
+    finished: int = 0
+    failed: int = 0
+    busy_ms: float = 0.0
+    busy_count: int = 0
+
+    def total_in_flight(self, now: float) -> int:
+        """Return the requests in flight from all VMs, as far as known."""
+        fresh = now - self.others_at < FLEET_LIFE_S
+        return self.in_flight + (self.others_in_flight if fresh else 0)
+
+    def failing(self, now: float) -> float:
+        """Return the share of attempts that fail, fading with time."""
+        age_s = now - self.failure_at
+        return self.failure_rate * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
+
+    def note_answer(self, took_s: float, hint: LoadHint | None, now: float) -> None:
+        """Take in an answer; only unqueued ones tell the work time."""
+        self.finished += 1
+        self._note_result(0.0, now)
+        if hint is None or hint.waiting == 0:
+            weight = WORK_WEIGHT if self.measured else 1.0
+            self.work_s += weight * (took_s - self.work_s)
+            self.measured = True
+            self.busy_ms += took_s * 1000
+            self.busy_count += 1
+
+    def note_failure(self, now: float) -> None:
+        """Take in an attempt that brought no usable answer."""
+        self.failed += 1
+        self._note_result(1.0, now)
+
+    def _note_result(self, failed: float, now: float) -> None:
+        rate = self.failing(now)
+        self.failure_rate = rate + FAILURE_WEIGHT * (failed - rate)
+        self.failure_at = now
+
+    def expected_wait_s(self, slots: int, now: float) -> float:
+        """Return how long a new request would wait for a slot."""
+        ahead = self.total_in_flight(now) - slots + 1
+        return max(0, ahead) * self.work_s / slots
+
+    def expected_s(self, slots: int, now: float) -> float:
+        """Return when a new request would be answered."""
+        return self.expected_wait_s(slots, now) + self.work_s
+
+
+@dataclass
+class Estimates:
+    """Hold the estimates of all targets."""
+
+    targets: dict[str, TargetEstimate] = field(default_factory=dict)
+
+    def of(self, target: str) -> TargetEstimate:
+        """Return the estimate of a target."""
+        found = self.targets.get(target)
+        if found is None:
+            found = self.targets[target] = TargetEstimate()
+        return found
+
+    @contextmanager
+    def attempt(self, target: str) -> Iterator[TargetEstimate]:
+        """Count a request as in flight at a target while the context lasts."""
+        estimate = self.of(target)
+        estimate.in_flight += 1
+        try:
+            yield estimate
+        finally:
+            estimate.in_flight -= 1
+
+    def avoid(self, target: str) -> None:
+        """Pass over a target for a moment."""
+        self.of(target).avoid_until = monotonic() + AVOID_S
+
+    def forget_all_but(self, names: set[str]) -> None:
+        """Drop targets that are gone and idle."""
+        for name in set(self.targets) - names:
+            if not self.targets[name].in_flight:
+                del self.targets[name]
--- /dev/null
+++ b/packages/gateway/peridot_gateway/fleetload.py
@@ -0,0 +1,73 @@
+"""Load of the whole fleet, as the placer sums it from reports."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from peridot_gateway.sources import ConfigurationSource, TargetSource
+from peridot_ownership.loads import KeyLoads
+from peridot_ownership.placer import FleetView
+from peridot_placement.clock import boot_time
+from peridot_resources.configuration import ServingTarget
+from peridot_wire import peridot_pb2 as pb
+
+# Weight of one report's mean work time in the moving average.
+WORK_WEIGHT = 0.3
+
+
+@dataclass
+class FleetLoad(FleetView):
+    """Sum the reports of all VMs."""
+
+    configuration: ConfigurationSource
+    targets: TargetSource
+    keys: dict[str, KeyLoads] = field(default_factory=dict)
+    works: dict[str, float] = field(default_factory=dict)
+    # Requests in flight by VM and target.
+    in_flight: dict[str, dict[str, int]] = field(default_factory=dict)
+    clock: Callable[[], float] = boot_time
+
+    def divided_services(self) -> list[str]:
+        services = self.configuration.configuration.services.values()
+        return [service.name for service in services if service.divided_by_key]
+
+    def targets_of(self, service: str) -> list[ServingTarget]:
+        return self.targets.of_service(service)
+
+    def loads_of(self, service: str) -> KeyLoads:
+        return self.keys.setdefault(service, KeyLoads())
+
+    def work_s(self, target: str) -> float | None:
+        return self.works.get(target)
+
+    def take(self, report: pb.FleetReport) -> None:
+        """Take in one VM's report."""
+        now = self.clock()
+        for counts in report.keys:
+            pairs = zip(counts.keys, counts.counts, strict=True)
+            self.loads_of(counts.service).add(pairs, now)
+        for item in report.targets:
+            if item.busy_count:
+                self._take_work(item)
+        self.in_flight[report.vm] = {
+            item.target: item.in_flight for item in report.targets if item.in_flight
+        }
+
+    def _take_work(self, item: pb.TargetReport) -> None:
+        sample = item.busy_ms / item.busy_count / 1000
+        before = self.works.get(item.target, sample)
+        weight = min(1.0, WORK_WEIGHT * item.busy_count)
+        self.works[item.target] = before + weight * (sample - before)
+
+    def forget(self, vm: str) -> None:
+        """Drop what a VM that left had in flight."""
+        self.in_flight.pop(vm, None)
+
+    def others_in_flight(self, vm: str) -> dict[str, int]:
+        """Return the requests in flight by target from all VMs but one."""
+        totals: dict[str, int] = {}
+        for name, by_target in self.in_flight.items():
+            if name == vm:
+                continue
+            for target, count in by_target.items():
+                totals[target] = totals.get(target, 0) + count
+        return totals
--- /dev/null
+++ b/packages/gateway/peridot_gateway/ingress.py
@@ -0,0 +1,214 @@
+"""Ingress: takes callers' requests over HTTP and answers each once and whole."""
+
+import asyncio
+import random
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from functools import singledispatch
+from time import monotonic
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from peridot_daemon.metrics import Metrics
+from peridot_daemon.settings import split_address
+from peridot_gateway.dialect import CallerTerms, Dialect
+from peridot_gateway.requests import GatewayRequest, end_to_end
+from peridot_gateway.router import GatewayRouter
+from peridot_gateway.routes import choose_service
+from peridot_gateway.sources import ConfigurationSource
+from peridot_placement.decisions import DecisionLog
+from peridot_resources.configuration import Route
+from peridot_routing.outcomes import Answered, NotRun, Outcome, Reason, Unknown
+from peridot_routing.router import describe
+
+# Larger lines and headers than any configuration allows end the connection.
+MAX_LINE_BYTES = 65_536
+# A caller whose deadline isn't known waits no longer than the route's timeout.
+NOT_RUN_STATUSES = {
+    Reason.BAD_REQUEST: 400,
+    Reason.MISSING_KEY: 400,
+    Reason.UNKNOWN_SERVICE: 404,
+    Reason.BODY_TOO_LARGE: 413,
+}
+UNAVAILABLE_STATUS = 503
+BAD_GATEWAY_STATUS = 502
+GATEWAY_TIMEOUT_STATUS = 504
+NOT_READY_RETRY_MS = 500
+# Idle connections are kept this much longer than callers reuse them.
+IDLE_MARGIN_S = 5.0
+
+
+class Ingress:
+    """Serve callers."""
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        source: ConfigurationSource,
+        router: GatewayRouter,
+        metrics: Metrics,
+        log: DecisionLog,
+        rng: random.Random,
+    ) -> None:
+        self.dialect = dialect
+        self.source = source
+        self.router = router
+        self.metrics = metrics
+        self.log = log
+        self.rng = rng
+        self.open_requests = 0
+        self.stopping = False
+        self.orders: set[asyncio.Task] = set()
+
+    @asynccontextmanager
+    async def serve(self, address: str) -> AsyncIterator[web.SockSite]:
+        """Listen for callers while the context lasts."""
+        server = web.Server(
+            self.handle,
+            handler_cancellation=True,
+            access_log=None,
+            auto_decompress=False,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+            keepalive_timeout=self._idle_s(),
+        )
+        runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        await runner.setup()
+        host, port = split_address(address)
+        site = web.TCPSite(runner, host, port, backlog=1024)
+        try:
+            await site.start()
+            yield site
+        finally:
+            await runner.cleanup()
+
+    def _idle_s(self) -> float:
+        return self.source.configuration.limits.idle_timeout_s + IDLE_MARGIN_S
+
+    async def handle(self, http_request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request of a caller."""
+        began = monotonic()
+        self.open_requests += 1
+        terms = self.dialect.read_terms(http_request.headers)
+        route = None
+        try:
+            route = self._match(http_request)
+            if isinstance(route, NotRun):
+                outcome: Outcome = route
+            else:
+                outcome = await self._route(http_request, route, terms, began)
+        except asyncio.CancelledError:
+            self.log.write("caller_left", request=terms.request_id)
+            raise
+        finally:
+            self.open_requests -= 1
+        self._record(route, terms, outcome, monotonic() - began)
+        response = to_response(outcome)
+        if self.stopping:
+            response.force_close()
+        return response
+
+    def _record(
+        self,
+        route: Route | NotRun | None,
+        terms: CallerTerms,
+        outcome: Outcome,
+        took_s: float,
+    ) -> None:
+        name = route.name if isinstance(route, Route) else "-"
+        word = describe(outcome)
+        self.metrics.count_request(name, word.partition(":")[0], took_s)
+        self.log.write(
+            "request",
+            request=terms.request_id,
+            route=name,
+            version=self.source.configuration.version,
+            outcome=word,
+            target=getattr(outcome, "target", "") or "-",
+            detail=getattr(outcome, "detail", "") or "-",
+            took_ms=round(took_s * 1000, 1),
+        )
+
+    def _match(self, http_request: web.BaseRequest) -> Route | NotRun:
+        if not self.source.configuration.version:
+            return NotRun(Reason.NOT_READY, NOT_READY_RETRY_MS, "no configuration yet")
+        path = http_request.raw_path.partition("?")[0]
+        host = http_request.headers.get("Host", "")
+        route = self.source.index.find(host, path)
+        return route or NotRun(Reason.UNKNOWN_SERVICE, detail="no route has this path")
+
+    async def _route(
+        self,
+        http_request: web.BaseRequest,
+        route: Route,
+        terms: CallerTerms,
+        began: float,
+    ) -> Outcome:
+        service_name = choose_service(route, self.rng)
+        service = self.source.configuration.services.get(service_name)
+        if service is None:
+            return NotRun(Reason.NO_TARGET, NOT_READY_RETRY_MS, "unknown service")
+        limit = self.source.configuration.limits.max_body_bytes
+        if (http_request.content_length or 0) > limit:
+            return NotRun(Reason.BODY_TOO_LARGE, detail=f"over {limit} bytes")
+        body = await http_request.read() if http_request.can_read_body else b""
+        if len(body) > limit:
+            return NotRun(Reason.BODY_TOO_LARGE, detail=f"over {limit} bytes")
+        wait_s = min(terms.deadline_s or route.timeout_s, route.timeout_s)
+        request = GatewayRequest(
+            terms.request_id,
+            route,
+            service,
+            http_request.headers.get("Host", ""),
+            http_request.method,
+            http_request.raw_path,
+            end_to_end(http_request.headers),
+            body,
+            terms.key,
+            began,
+            began + wait_s,
+        )
+        return await self._run(request)
+
+    async def _run(self, request: GatewayRequest) -> Outcome:
+        """Route a request; one that may not run twice goes on if its caller leaves."""
+        if request.route.idempotent:
+            return await self.router.handle(request)
+        task = asyncio.create_task(self.router.handle(request))
+        self.orders.add(task)
+        task.add_done_callback(self.orders.discard)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            request.abandoned = True
+            raise
+
+
+@singledispatch
+def to_response(outcome: Outcome) -> web.Response:
+    """Return the HTTP form of an outcome."""
+    raise TypeError(type(outcome).__name__)
+
+
+@to_response.register
+def _(outcome: Answered) -> web.Response:
+    headers = CIMultiDict(outcome.headers)
+    return web.Response(status=outcome.status, headers=headers, body=outcome.body)
+
+
+@to_response.register
+def _(outcome: NotRun) -> web.Response:
+    status = NOT_RUN_STATUSES.get(outcome.reason, UNAVAILABLE_STATUS)
+    headers = {"Outcome-Reason": outcome.reason}
+    if status == UNAVAILABLE_STATUS:
+        headers["Retry-After"] = f"{max(0.05, outcome.retry_after_ms / 1000):.3f}"
+    return web.Response(status=status, headers=headers, text="not run\n")
+
+
+@to_response.register
+def _(outcome: Unknown) -> web.Response:
+    timed_out = outcome.reason is Reason.DEADLINE
+    status = GATEWAY_TIMEOUT_STATUS if timed_out else BAD_GATEWAY_STATUS
+    headers = {"Outcome-Reason": outcome.reason}
+    return web.Response(status=status, headers=headers, text="unknown whether it ran\n")
--- /dev/null
+++ b/packages/gateway/peridot_gateway/routes.py
@@ -0,0 +1,37 @@
+"""Find the route of a request by host and longest path prefix."""
+
+import random
+from dataclasses import dataclass, field
+
+from peridot_resources.configuration import Configuration, Route
+
+
+@dataclass
+class RouteIndex:
+    """Hold the routes of a configuration by host, longest prefix first."""
+
+    configuration: Configuration
+    by_host: dict[str, list[Route]] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        for route in self.configuration.routes:
+            self.by_host.setdefault(route.host.lower(), []).append(route)
+        for routes in self.by_host.values():
+            routes.sort(key=lambda route: -len(route.path_prefix))
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route of a request, or None."""
+        name = host.partition(":")[0].lower()
+        for route in self.by_host.get(name, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+
+def choose_service(route: Route, rng: random.Random) -> str:
+    """Return the service that gets a request, by the shares of its route."""
+    shares = route.shares
+    if len(shares) == 1:
+        return shares[0].service
+    chosen = rng.choices(shares, [share.weight for share in shares])
+    return chosen[0].service
--- /dev/null
+++ b/packages/gateway/peridot_gateway/sender.py
@@ -0,0 +1,201 @@
+"""Send one attempt to a target over HTTP and tell its outcome."""
+
+import asyncio
+from dataclasses import dataclass
+from time import monotonic
+
+from aiohttp import (
+    ClientConnectorError,
+    ClientError,
+    ClientPayloadError,
+    ClientResponse,
+    ClientSession,
+    ClientTimeout,
+    ConnectionTimeoutError,
+    DummyCookieJar,
+    TCPConnector,
+)
+from multidict import CIMultiDict
+from yarl import URL
+
+from peridot_gateway.dialect import AnswerFacts, Dialect
+from peridot_gateway.estimates import Estimates
+from peridot_gateway.requests import GatewayRequest, end_to_end
+from peridot_resources.configuration import ServingTarget
+from peridot_routing.attempts import AUTO_HEADERS, BODYLESS_STATUSES
+from peridot_routing.outcomes import Answered, NotRun, Outcome, Reason, Unknown
+
+# Targets are at most a few milliseconds away; a lost first packet costs a second.
+CONNECT_TIMEOUT_S = 0.35
+# Kept connections are closed before the targets forget them (10 s on the sites).
+KEPT_IDLE_S = 3.0
+# An answer that is due exactly at the deadline still gets back to the caller.
+DEADLINE_MARGIN_S = 0.015
+# Targets are told a little less than what is left.
+TRANSFER_S = 0.005
+
+
+@dataclass(frozen=True)
+class Attempt:
+    """Hold the outcome of an attempt and what its answer's headers say."""
+
+    outcome: Outcome
+    facts: AnswerFacts | None = None
+
+
+class TargetConnections:
+    """Hold the connections to one target.
+
+    Requests that may not run twice use fresh connections: a kept one may be closed
+    as the request goes out, which leaves open whether it ran.
+    """
+
+    def __init__(self) -> None:
+        self.kept = open_session(TCPConnector(limit=0, keepalive_timeout=KEPT_IDLE_S))
+        self.fresh = open_session(TCPConnector(limit=0, force_close=True))
+        self.retired: list[ClientSession] = []
+
+    def renew(self) -> None:
+        """Leave the kept connections, which may have gone silent, to their requests."""
+        self.retired.append(self.kept)
+        self.kept = open_session(TCPConnector(limit=0, keepalive_timeout=KEPT_IDLE_S))
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for session in (self.kept, self.fresh, *self.retired):
+            await session.close()
+
+
+def open_session(connector: TCPConnector) -> ClientSession:
+    """Return a session that adds nothing of its own to requests."""
+    return ClientSession(
+        connector=connector,
+        cookie_jar=DummyCookieJar(),
+        skip_auto_headers=AUTO_HEADERS,
+        auto_decompress=False,
+    )
+
+
+class Sender:
+    """Send attempts to targets."""
+
+    def __init__(self, dialect: Dialect, estimates: Estimates) -> None:
+        self.dialect = dialect
+        self.estimates = estimates
+        self.connections: dict[str, TargetConnections] = {}
+
+    async def attempt(
+        self, request: GatewayRequest, target: ServingTarget, limit_s: float
+    ) -> Attempt:
+        """Send a request once, for a limited time, and return the outcome."""
+        connections = self._connections(target)
+        session = connections.kept if request.route.idempotent else connections.fresh
+        began = monotonic()
+        with self.estimates.attempt(target.name) as estimate:
+            found = await self._send(session, request, target, limit_s)
+            now = monotonic()
+            match found.outcome:
+                case Answered(status=status):
+                    hint = found.facts.load if found.facts else None
+                    if status < 500:
+                        estimate.note_answer(now - began, hint, now)
+                    else:
+                        estimate.note_failure(now)
+                case NotRun(reason=Reason.CONNECTION_REFUSED | Reason.TARGET_LOST):
+                    estimate.note_failure(now)
+                    self.estimates.avoid(target.name)
+                case NotRun(reason=Reason.NOT_OWNER):
+                    pass
+                case _:
+                    estimate.note_failure(now)
+        if found.outcome == Unknown(Reason.DEADLINE):
+            connections.renew()
+        return found
+
+    async def drop(self, name: str) -> None:
+        """Close the connections to a target that is gone."""
+        found = self.connections.pop(name, None)
+        if found is not None:
+            await found.close()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await asyncio.gather(*(self.drop(name) for name in list(self.connections)))
+
+    def _connections(self, target: ServingTarget) -> TargetConnections:
+        found = self.connections.get(target.name)
+        if found is None:
+            found = self.connections[target.name] = TargetConnections()
+        return found
+
+    async def _send(
+        self,
+        session: ClientSession,
+        request: GatewayRequest,
+        target: ServingTarget,
+        limit_s: float,
+    ) -> Attempt:
+        left_s = min(limit_s, request.left_s() - DEADLINE_MARGIN_S)
+        if left_s <= 0:
+            return Attempt(NotRun(Reason.DEADLINE))
+        headers = self.dialect.target_headers(request, target, left_s - TRANSFER_S)
+        try:
+            async with session.request(
+                request.method,
+                URL(f"http://{target.address}{request.path}", encoded=True),
+                headers=CIMultiDict(headers),
+                data=request.body or None,
+                timeout=ClientTimeout(total=left_s, sock_connect=CONNECT_TIMEOUT_S),
+                allow_redirects=False,
+            ) as answer:
+                return await self._read(answer, request, target)
+        except ClientConnectorError as error:
+            return Attempt(NotRun(Reason.CONNECTION_REFUSED, detail=str(error)))
+        except ConnectionTimeoutError:
+            return Attempt(NotRun(Reason.TARGET_LOST, detail="no connection in time"))
+        except ClientPayloadError:
+            return Attempt(Unknown(Reason.TORN_ANSWER))
+        except TimeoutError:
+            return Attempt(Unknown(Reason.DEADLINE))
+        except (ClientError, OSError, ValueError) as error:
+            return Attempt(Unknown(Reason.CONNECTION_LOST, type(error).__name__))
+
+    async def _read(
+        self, answer: ClientResponse, request: GatewayRequest, target: ServingTarget
+    ) -> Attempt:
+        facts = self.dialect.read_facts(answer.status, answer.headers, request)
+        if facts.foreign:
+            answer.close()
+            return Attempt(Unknown(Reason.TORN_ANSWER, "another request's answer"))
+        body = await _read_whole(answer, request.method)
+        if body is None:
+            return Attempt(Unknown(Reason.TORN_ANSWER, "broken off"))
+        if facts.misdirected:
+            return Attempt(NotRun(Reason.NOT_OWNER), facts)
+        if facts.not_run:
+            wait_ms = int((facts.retry_after_s or 0.0) * 1000)
+            return Attempt(
+                NotRun(Reason.SHED, wait_ms, f"status {answer.status}"), facts
+            )
+        if not facts.signed:
+            return Attempt(Unknown(Reason.TORN_ANSWER, "not signed"), facts)
+        headers = end_to_end(answer.headers)
+        return Attempt(Answered(answer.status, headers, body, target.name), facts)
+
+
+async def _read_whole(answer: ClientResponse, method: str) -> bytes | None:
+    """Return the whole body; None if it ended with a broken connection."""
+    framed = (
+        method == "HEAD"
+        or answer.status in BODYLESS_STATUSES
+        or answer.content_length is not None
+        or "chunked" in answer.headers.get("Transfer-Encoding", "").lower()
+    )
+    if framed or answer.connection is None:
+        return await answer.read() if framed else None
+    # The end of such a body is the end of the connection, which may be a reset.
+    closed = answer.connection.protocol.closed
+    body = await answer.read()
+    if closed is None or not closed.done() or closed.exception() is not None:
+        return None
+    return body
--- a/packages/platform/peridot_platform/codec.py
+++ b/packages/objects/peridot_objects/codec.py
@@ -2,7 +2,7 @@
 
 import orjson
 
-from peridot_platform.outcomes import Change, DeletedObject, StoredObject
+from peridot_objects.outcomes import Change, DeletedObject, StoredObject
 
 
 def serialize_change(change: Change) -> dict[str, object]:
--- a/packages/platform/peridot_platform/http_objects.py
+++ b/packages/objects/peridot_objects/http_objects.py
@@ -12,9 +12,9 @@
     ClientTimeout,
 )
 
-from peridot_platform.codec import parse_change
-from peridot_platform.objects import ObjectStore
-from peridot_platform.outcomes import (
+from peridot_objects.codec import parse_change
+from peridot_objects.objects import ObjectStore
+from peridot_objects.outcomes import (
     Conflict,
     Listing,
     ListOutcome,
--- a/packages/platform/peridot_platform/objects.py
+++ b/packages/objects/peridot_objects/objects.py
@@ -5,7 +5,7 @@
 from collections import deque
 from collections.abc import Collection
 
-from peridot_platform.outcomes import (
+from peridot_objects.outcomes import (
     Change,
     Conflict,
     DeletedObject,
--- /dev/null
+++ b/packages/ownership/peridot_ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Ownership of numeric key ranges by targets that enforce holds."""
--- /dev/null
+++ b/packages/ownership/peridot_ownership/holds.py
@@ -0,0 +1,160 @@
+"""Holds: what targets may still hold, as far as the granter can tell."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass, field
+
+from peridot_ownership.ranges import KeyRange
+from peridot_resources.configuration import ServingTarget
+
+# A target's clock may run slow by this share.
+SLOW_CLOCK = 0.02
+# Added to each computed end: late timers and scheduling on both sides.
+END_MARGIN_S = 0.15
+
+
+@dataclass(frozen=True)
+class Granted:
+    """Tell that the target took the grant."""
+
+
+@dataclass(frozen=True)
+class Outranked:
+    """Tell that the target has seen a higher fence on some of the keys."""
+
+
+@dataclass(frozen=True)
+class Replaced:
+    """Tell that another incarnation has the address: the one called is gone."""
+
+
+@dataclass(frozen=True)
+class Unreached:
+    """Tell that the call certainly did not arrive."""
+
+    reason: str
+
+
+@dataclass(frozen=True)
+class Unanswered:
+    """Tell that the call may take effect, at once or later."""
+
+    reason: str
+
+
+@dataclass(frozen=True)
+class Released:
+    """Tell that the target ended its work on the keys; the token hands them over."""
+
+    handover: str | None
+
+
+GrantOutcome = Granted | Outranked | Replaced | Unreached | Unanswered
+ReleaseOutcome = Released | Replaced | Unreached | Unanswered
+
+
+@dataclass(frozen=True)
+class Grant:
+    """Give keys to a target for a while; the same grant again renews it."""
+
+    keys: KeyRange
+    fence: int
+    hold_s: float
+    handover: str | None = None
+
+
+class HoldControl(ABC):
+    """Grant keys to targets and take them back."""
+
+    @abstractmethod
+    async def grant(
+        self, target: ServingTarget, grant: Grant, timeout_s: float
+    ) -> GrantOutcome:
+        """Grant keys, or renew a grant."""
+
+    @abstractmethod
+    async def release(
+        self, target: ServingTarget, keys: KeyRange, fence: int, timeout_s: float
+    ) -> ReleaseOutcome:
+        """Stop new work on keys and wait for the work that runs."""
+
+
+@dataclass(eq=False)
+class Hold:
+    """Bound one grant call's effect."""
+
+    keys: KeyRange
+    ends: float
+    answered: bool
+
+
+@dataclass
+class HoldBook:
+    """Hold the latest end of each target's holds, by the granter's clock."""
+
+    holds: dict[str, list[Hold]] = field(default_factory=dict)
+
+    def begin(self, target: str, grant: Grant, sent: float, timeout_s: float) -> Hold:
+        """Note a grant before it is sent: it may arrive until the timeout."""
+        ends = sent + timeout_s + longest_hold(grant.hold_s)
+        hold = Hold(grant.keys, ends, answered=False)
+        live = [item for item in self.holds.get(target, ()) if item.ends > sent]
+        self.holds[target] = [*live, hold]
+        return hold
+
+    def finish(
+        self, target: str, hold: Hold, outcome: GrantOutcome, grant: Grant, now: float
+    ) -> None:
+        """Take in a grant's outcome; what didn't arrive or was refused is dropped."""
+        if isinstance(outcome, Granted):
+            hold.answered = True
+            hold.ends = now + longest_hold(grant.hold_s)
+        elif not isinstance(outcome, Unanswered):
+            self._drop(target, hold)
+
+    def released(self, target: str, keys: KeyRange) -> None:
+        """Take in that a target answered a release; unanswered grants may follow."""
+        kept = []
+        for hold in self.holds.get(target, ()):
+            if not hold.answered:
+                kept.append(hold)
+                continue
+            kept += [Hold(part, hold.ends, True) for part in hold.keys.minus([keys])]
+        self.holds[target] = kept
+
+    def void_unanswered(self, target: str, keys: KeyRange, latest: Hold) -> None:
+        """Drop older unanswered grants: the target has seen a higher fence."""
+        kept = []
+        for hold in self.holds.get(target, ()):
+            if hold.answered or hold is latest:
+                kept.append(hold)
+                continue
+            kept += [Hold(part, hold.ends, False) for part in hold.keys.minus([keys])]
+        self.holds[target] = kept
+
+    def has_unanswered(self, target: str, keys: KeyRange, now: float) -> bool:
+        """Tell whether a grant of some of the keys may still take effect."""
+        return any(
+            not hold.answered and hold.ends > now and hold.keys.overlaps(keys)
+            for hold in self.holds.get(target, ())
+        )
+
+    def forget(self, target: str) -> None:
+        """Drop all holds of a target that is certainly gone."""
+        self.holds.pop(target, None)
+
+    def end_of(self, target: str, keys: KeyRange, now: float) -> float:
+        """Return when a target certainly holds none of the keys; now if it doesn't."""
+        live = [hold for hold in self.holds.get(target, ()) if hold.ends > now]
+        if target in self.holds:
+            self.holds[target] = live
+        return max((h.ends for h in live if h.keys.overlaps(keys)), default=now)
+
+    def _drop(self, target: str, hold: Hold) -> None:
+        holds = self.holds.get(target, [])
+        if hold in holds:
+            holds.remove(hold)
+
+
+def longest_hold(hold_s: float) -> float:
+    """Return how long a hold may last from its arrival, seen from outside."""
+    return hold_s * (1 + SLOW_CLOCK) + END_MARGIN_S
--- a/packages/placement/peridot_placement/keeper.py
+++ b/packages/placement/peridot_placement/keeper.py
@@ -8,6 +8,13 @@
 from enum import Enum
 from uuid import uuid4
 
+from peridot_objects.objects import ObjectStore
+from peridot_objects.outcomes import (
+    Listing,
+    Missing,
+    StoredObject,
+    StoreUnavailable,
+)
 from peridot_placement.assignments import parse_assignment
 from peridot_placement.clock import boot_time, with_drift
 from peridot_placement.decisions import DecisionLog
@@ -32,13 +39,6 @@
     wait_to_hand_on,
 )
 from peridot_placement.writer import WriteAbandoned, WriteDone, write_durably
-from peridot_platform.objects import ObjectStore
-from peridot_platform.outcomes import (
-    Listing,
-    Missing,
-    StoredObject,
-    StoreUnavailable,
-)
 from peridot_resources.catalog import Catalog, Kind
 
 TICK_S = 0.05
--- a/packages/placement/peridot_placement/mover.py
+++ b/packages/placement/peridot_placement/mover.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import replace
 
+from peridot_objects.outcomes import Missing, StoredObject
 from peridot_placement.assignments import Assignment, parse_home, serialize_home
 from peridot_placement.balancer import BalanceRequest, Move, SliceState, plan_moves
 from peridot_placement.clock import boot_time
@@ -22,7 +23,6 @@
     divide_ranges,
 )
 from peridot_placement.splits import merge_cold_slices, split_hot_slices
-from peridot_platform.outcomes import Missing, StoredObject
 from peridot_resources.catalog import Kind, Service, Target
 
 SLICES_PER_TARGET = 16
--- a/packages/placement/peridot_placement/placement_state.py
+++ b/packages/placement/peridot_placement/placement_state.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from uuid import uuid4
 
+from peridot_objects.objects import ObjectStore
 from peridot_placement.assignments import (
     Assignment,
     parse_assignment,
@@ -20,7 +21,6 @@
 from peridot_placement.slices import HashRange, HomeTable, SliceTable
 from peridot_placement.terms import HeldTerm
 from peridot_placement.writer import WriteDone, WriteLost, write_durably
-from peridot_platform.objects import ObjectStore
 from peridot_resources.catalog import Catalog, Kind
 
 
--- a/packages/placement/peridot_placement/placer.py
+++ b/packages/placement/peridot_placement/placer.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager, contextmanager
 
+from peridot_objects.outcomes import Listing
 from peridot_placement.assignments import (
     parse_assignment,
     parse_home,
@@ -20,7 +21,6 @@
 )
 from peridot_placement.slices import HashRange
 from peridot_placement.terms import PERMIT_S, Candidate
-from peridot_platform.outcomes import Listing
 from peridot_resources.catalog import Kind
 from peridot_wire import peridot_pb2 as pb
 
--- a/packages/placement/peridot_placement/writer.py
+++ b/packages/placement/peridot_placement/writer.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from peridot_platform.objects import ObjectStore
-from peridot_platform.outcomes import (
+from peridot_objects.objects import ObjectStore
+from peridot_objects.outcomes import (
     Conflict,
     Rejected,
     StoredObject,
--- a/packages/placement/tests/test_placer.py
+++ b/packages/placement/tests/test_placer.py
@@ -3,6 +3,8 @@
 import asyncio
 from contextlib import ExitStack, asynccontextmanager
 
+from peridot_objects.objects import MemoryObjectStore
+from peridot_objects.outcomes import StoredObject
 from peridot_placement.assignments import parse_assignment
 from peridot_placement.clock import boot_time
 from peridot_placement.decisions import MemoryDecisionLog
@@ -13,8 +15,6 @@
     TermPeers,
 )
 from peridot_placement.terms import PROMISE_S, Candidacy, Candidate, parse_term
-from peridot_platform.objects import MemoryObjectStore
-from peridot_platform.outcomes import StoredObject
 from peridot_resources.catalog import Catalog, RoutingPolicy, Service, Target
 from peridot_wire import peridot_pb2 as pb
 
--- a/packages/placement/tests/test_writer.py
+++ b/packages/placement/tests/test_writer.py
@@ -4,13 +4,13 @@
 
 import pytest
 
+from peridot_objects.objects import MemoryObjectStore
 from peridot_placement.writer import (
     WriteAbandoned,
     WriteDone,
     WriteLost,
     write_durably,
 )
-from peridot_platform.objects import MemoryObjectStore
 
 
 def write(store, value, expected, tries=3):
--- a/packages/wire/peridot_wire/peridot_grpc.py
+++ b/packages/wire/peridot_wire/peridot_grpc.py
@@ -102,3 +102,47 @@
             peridot_pb2.ProbeRequest,
             peridot_pb2.ProbeReply,
         )
+
+
+class FleetBase(abc.ABC):
+
+    @abc.abstractmethod
+    async def Join(self, stream: 'grpclib.server.Stream[peridot_pb2.FleetReport, peridot_pb2.FleetState]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def Ask(self, stream: 'grpclib.server.Stream[peridot_pb2.FleetQuestion, peridot_pb2.FleetAnswer]') -> None:
+        pass
+
+    def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
+        return {
+            '/peridot.Fleet/Join': grpclib.const.Handler(
+                self.Join,
+                grpclib.const.Cardinality.STREAM_STREAM,
+                peridot_pb2.FleetReport,
+                peridot_pb2.FleetState,
+            ),
+            '/peridot.Fleet/Ask': grpclib.const.Handler(
+                self.Ask,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                peridot_pb2.FleetQuestion,
+                peridot_pb2.FleetAnswer,
+            ),
+        }
+
+
+class FleetStub:
+
+    def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.Join = grpclib.client.StreamStreamMethod(
+            channel,
+            '/peridot.Fleet/Join',
+            peridot_pb2.FleetReport,
+            peridot_pb2.FleetState,
+        )
+        self.Ask = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/peridot.Fleet/Ask',
+            peridot_pb2.FleetQuestion,
+            peridot_pb2.FleetAnswer,
+        )
