Estimate work times without waits, and cut ranges around dominant keys

Cause: requests on test routes, 7 ms, were the only unqueued samples at a saturated target, so its capacity looked three times too large and the planner left it alone. A range with one dominant key offered no piece of fitting size. Ruled out: stuck moves (none was under way), lost load reports (totals were right). What is left is the single key with 44 % of the traffic.

--- a/packages/gateway/peridot_gateway/estimates.py
+++ b/packages/gateway/peridot_gateway/estimates.py
@@ -6,14 +6,21 @@
 from time import monotonic
 
 from peridot_gateway.dialect import LoadHint
+from peridot_resources.configuration import Route
 
 # Weight of a new sample in moving averages.
 WORK_WEIGHT = 0.15
 FAILURE_WEIGHT = 0.15
 # A failure rate has half faded after this time, so that a target is tried again.
 FAILURE_HALF_LIFE_S = 3.0
-# Work time (s) of a target before any was seen.
-FIRST_WORK_S = 0.25
+# Work time of a target before any was seen, as a share of the latency objective.
+WORK_PER_OBJECTIVE = 1 / 3
+# Work time (s) where no objective is known either.
+FIRST_WORK_S = 0.2
+# A single sample counts as no less and no more than these multiples of the estimate,
+# so that a few requests of another kind don't spoil it.
+MIN_SAMPLE = 0.4
+MAX_SAMPLE = 4.0
 # What others have in flight counts until it is this old (s).
 FLEET_LIFE_S = 2.0
 # Targets that refused or didn't accept a connection are passed over this long.
@@ -33,7 +40,7 @@
     failure_rate: float = 0.0
     failure_at: float = 0.0
     avoid_until: float = 0.0
-    # Since the last report to the placer.
+    # Since the last report to the placer; work times without waits.
     finished: int = 0
     failed: int = 0
     busy_ms: float = 0.0
@@ -50,15 +57,19 @@
         return self.failure_rate * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
 
     def note_answer(self, took_s: float, hint: LoadHint | None, now: float) -> None:
-        """Take in an answer; only unqueued ones tell the work time."""
+        """Take in an answer and the work time that it tells, without its wait.
+
+        The queue is taken to have been as long when the request came as it is now.
+        """
         self.finished += 1
         self._note_result(0.0, now)
-        if hint is None or hint.waiting == 0:
-            weight = WORK_WEIGHT if self.measured else 1.0
-            self.work_s += weight * (took_s - self.work_s)
-            self.measured = True
-            self.busy_ms += took_s * 1000
-            self.busy_count += 1
+        if hint is not None:
+            took_s /= 1 + hint.waiting / max(1, hint.slots)
+        sample_s = min(max(took_s, MIN_SAMPLE * self.work_s), MAX_SAMPLE * self.work_s)
+        self.work_s += WORK_WEIGHT * (sample_s - self.work_s)
+        self.measured = True
+        self.busy_ms += sample_s * 1000
+        self.busy_count += 1
 
     def note_failure(self, now: float) -> None:
         """Take in an attempt that brought no usable answer."""
@@ -94,9 +105,11 @@
         return found
 
     @contextmanager
-    def attempt(self, target: str) -> Iterator[TargetEstimate]:
+    def attempt(self, target: str, route: Route) -> Iterator[TargetEstimate]:
         """Count a request as in flight at a target while the context lasts."""
         estimate = self.of(target)
+        if not estimate.measured:
+            estimate.work_s = WORK_PER_OBJECTIVE * route.latency_objective_s
         estimate.in_flight += 1
         try:
             yield estimate
--- a/packages/gateway/peridot_gateway/router.py
+++ b/packages/gateway/peridot_gateway/router.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
+from time import monotonic
 
 from peridot_gateway.admission import Admission
 from peridot_gateway.budget import BudgetTerms, RepeatBudget
@@ -28,9 +29,9 @@
 # Callers of keys without an owner come back after this.
 NO_OWNER_RETRY_MS = 400
 NO_TARGET_RETRY_MS = 500
-# An answer that takes this many times its expected time isn't awaited longer, if
-# the request may be repeated and its latency objective is gone.
-SILENCE_FACTOR = 4.0
+# An answer that takes this many times its expected time, or its objective, isn't
+# awaited longer if the request may be repeated.
+SILENCE_FACTOR = 1.8
 # No attempt begins with less time (s) left.
 MIN_ATTEMPT_S = 0.02
 SHED_PAUSE_S = 0.03
@@ -86,8 +87,9 @@
             if request.arrivals and not budget.take():
                 return self._give_up(request, last or NotRun(Reason.OVERLOADED))
             self.repeats += bool(request.arrivals)
-            last = await self._attempt(request, target)
-            if not self._may_repeat(request, last):
+            found = await self._attempt(request, target)
+            last = found.outcome
+            if not self._may_repeat(request, found):
                 return self._give_up(request, last)
             await self._pause(request, target, last)
 
@@ -163,7 +165,7 @@
             request.may_have_run = True
         if not isinstance(outcome, Answered) or outcome.status >= 500:
             self._log_attempt(request, target, found)
-        return outcome
+        return found
 
     def _limit_s(self, request: GatewayRequest, target: ServingTarget) -> float:
         """Return how long an attempt may take; orders always get all that is left."""
@@ -171,13 +173,16 @@
         if not request.route.idempotent:
             return left_s
         estimate = self.parts.estimates.of(target.name)
-        expected_s = estimate.work_s * SILENCE_FACTOR
-        return min(left_s, max(expected_s, request.route.latency_objective_s))
+        expected_s = estimate.expected_s(target.slots, monotonic())
+        objective_s = request.route.latency_objective_s
+        return min(left_s, max(expected_s, objective_s) * SILENCE_FACTOR)
 
-    def _may_repeat(self, request: GatewayRequest, outcome: Outcome) -> bool:
-        match outcome:
+    def _may_repeat(self, request: GatewayRequest, found: Attempt) -> bool:
+        match found.outcome:
             case Answered(status=status):
                 return status >= 500 and request.route.idempotent
+            case NotRun(reason=Reason.SHED):
+                return not (request.service.divided_by_key and found.queue_is_full)
             case NotRun(reason=reason):
                 return reason is not Reason.DEADLINE
             case _:
--- a/packages/gateway/peridot_gateway/sender.py
+++ b/packages/gateway/peridot_gateway/sender.py
@@ -42,6 +42,12 @@
     outcome: Outcome
     facts: AnswerFacts | None = None
 
+    @property
+    def queue_is_full(self) -> bool:
+        """Tell whether the target has as many requests waiting as it takes."""
+        hint = self.facts.load if self.facts else None
+        return hint is None or hint.waiting >= hint.slots
+
 
 class TargetConnections:
     """Hold the connections to one target.
@@ -91,7 +97,7 @@
         connections = self._connections(target)
         session = connections.kept if request.route.idempotent else connections.fresh
         began = monotonic()
-        with self.estimates.attempt(target.name) as estimate:
+        with self.estimates.attempt(target.name, request.route) as estimate:
             found = await self._send(session, request, target, limit_s)
             now = monotonic()
             match found.outcome:
--- a/packages/gateway/peridot_gateway/sources.py
+++ b/packages/gateway/peridot_gateway/sources.py
@@ -20,10 +20,10 @@
 from peridot_resources.configuration import Configuration, ServingTarget
 
 # A connection that has gone silent is noticed after a watch and its margin.
-WATCH_S = 4.0
+WATCH_S = 6.0
 RETRY_S = 0.25
 # Changes that come together are fetched together, to save calls.
-GATHER_TARGETS_S = 0.15
+GATHER_TARGETS_S = 0.3
 
 
 class Follower(ABC):
--- a/packages/ownership/peridot_ownership/loads.py
+++ b/packages/ownership/peridot_ownership/loads.py
@@ -9,7 +9,7 @@
 from peridot_ownership.ranges import KEY_SPACE, KeyRange
 
 # A hot set moves within seconds; shorter lives leave too few samples a target.
-HALF_LIFE_S = 2.0
+HALF_LIFE_S = 1.2
 # Rates below this (1/s) are dropped.
 MIN_RATE = 0.01
 # Weights are rescaled before they lose precision.
@@ -40,6 +40,16 @@
         width = (keys.end - keys.start) / KEY_SPACE
         return self.sums[last] - self.sums[first] + self.idle_rate * width
 
+    def hottest(self, keys: KeyRange) -> tuple[int, float]:
+        """Return the key of a range with the highest rate (1/s), and that rate."""
+        first = bisect_left(self.keys, keys.start)
+        last = bisect_left(self.keys, keys.end)
+        if first == last:
+            return keys.start, 0.0
+        sums = self.sums
+        at = max(range(first, last), key=lambda i: sums[i + 1] - sums[i])
+        return self.keys[at], sums[at + 1] - sums[at]
+
     def cut_after(self, keys: KeyRange, rate: float) -> int:
         """Return where to cut a range so that about a rate lies before it."""
         low, high = keys.start, keys.end
--- a/packages/ownership/peridot_ownership/placer.py
+++ b/packages/ownership/peridot_ownership/placer.py
@@ -19,7 +19,7 @@
     longest_hold,
 )
 from peridot_ownership.loads import KeyLoads
-from peridot_ownership.planner import PlanInput, RangeMove, plan_moves
+from peridot_ownership.planner import PlanInput, RangeMove, measure_balance, plan_moves
 from peridot_ownership.ranges import KeyRange, OwnedRange, RangeTable
 from peridot_ownership.record import PlacementRecord
 from peridot_ownership.recorder import CONFIRMED_S, Recorder
@@ -39,6 +39,8 @@
 RETRY_PAUSE_S = 0.1
 # Time between plans; each sums the loads of all keys.
 PLAN_PERIOD_S = 0.3
+# The state of the balance is logged this often.
+BALANCE_LOG_S = 1.0
 # Renewals that fail for this long make a target unusable.
 FAILING_S = 0.6
 # Daemons learn that keys move before the old owner refuses them.
@@ -104,6 +106,7 @@
         self.changed = ChangeSignal()
         self.sequence = 1
         self.moves = 0
+        self.balance_logged: dict[str, float] = {}
         # No right given under an earlier term outlasts this.
         self.earlier_rights_end = (
             boot_time() + CONFIRMED_S + longest_hold(hold_max_s)
@@ -260,6 +263,7 @@
             capacities,
             tuple(self.moving.get(service, ())),
         )
+        self._log_balance(service, plan)
         for move in plan_moves(plan):
             self.log.write(
                 "move",
@@ -273,6 +277,29 @@
             )
             self._spawn(self._move(service, move))
 
+    def _log_balance(self, service: str, plan: PlanInput) -> None:
+        now = boot_time()
+        if now < self.balance_logged.get(service, 0.0) + BALANCE_LOG_S:
+            return
+        self.balance_logged[service] = now
+        balance = measure_balance(plan)
+        if balance is None:
+            return
+        self.log.write(
+            "balance",
+            service=service,
+            total=round(plan.profile.total, 1),
+            targets=len(plan.capacities),
+            ranges=len(plan.table.ranges),
+            moving=len(plan.moving),
+            busiest=balance.busiest,
+            busiest_utilisation=round(balance.busiest_utilisation, 2),
+            busiest_capacity=round(plan.capacities[balance.busiest], 1),
+            idlest=balance.idlest,
+            idlest_utilisation=round(balance.idlest_utilisation, 2),
+            mean_utilisation=round(balance.mean_utilisation, 2),
+        )
+
     def _capacities(self, service: str) -> dict[str, float]:
         """Return the requests a second that each usable target can take."""
         now = boot_time()
--- a/packages/ownership/peridot_ownership/planner.py
+++ b/packages/ownership/peridot_ownership/planner.py
@@ -4,12 +4,22 @@
 from dataclasses import dataclass
 
 from peridot_ownership.loads import LoadProfile
-from peridot_ownership.ranges import KeyRange, OwnedRange, RangeTable
+from peridot_ownership.ranges import KEY_SPACE, KeyRange, OwnedRange, RangeTable
 
 # A target busier than the mean by this factor gives keys away ...
 HOT_FACTOR = 1.2
 # ... if it is busy for more than this share of its time; below, few wait.
-HOT_UTILISATION = 0.4
+HOT_UTILISATION = 0.5
+# A key that takes more than this share of its owner's capacity gets it alone.
+DOMINANT_SHARE = 0.5
+# A dominant key moves to a target that is faster by this factor.
+FASTER_FACTOR = 1.3
+# A range with this rate (1/s) is worth moving away from a dominant key.
+MIN_OFFLOAD = 0.3
+# Each key that moves has a price; this weighs all keys against a perfect fit.
+WIDTH_WEIGHT = 2.0
+# A piece that makes one more range to renew fits worse by this share.
+FRAGMENT_WEIGHT = 0.2
 # A target idler than this share of the mean gets keys whatever the others do.
 IDLE_FACTOR = 0.3
 # Ranges without an owner are handed out in parts of this share of a mean load.
@@ -41,6 +51,17 @@
     moving: Collection[KeyRange] = ()
 
 
+@dataclass(frozen=True)
+class Balance:
+    """Tell how busy the busiest and the idlest target are."""
+
+    busiest: str
+    busiest_utilisation: float
+    idlest: str
+    idlest_utilisation: float
+    mean_utilisation: float
+
+
 @dataclass
 class _Loads:
     capacities: Mapping[str, float]
@@ -78,6 +99,25 @@
     return moves
 
 
+def measure_balance(plan: PlanInput) -> Balance | None:
+    """Return how evenly the load lies on the targets."""
+    if not plan.capacities:
+        return None
+    loads = _Loads(plan.capacities, dict.fromkeys(plan.capacities, 0.0))
+    for item in plan.table.ranges:
+        if item.owner in loads.rates:
+            loads.rates[item.owner] += plan.profile.load(item.keys)
+    busiest = max(plan.capacities, key=loads.utilisation)
+    idlest = min(plan.capacities, key=loads.utilisation)
+    return Balance(
+        busiest,
+        loads.utilisation(busiest),
+        idlest,
+        loads.utilisation(idlest),
+        loads.mean(),
+    )
+
+
 def _place_homeless(
     plan: PlanInput, homeless: list[OwnedRange], loads: _Loads
 ) -> list[RangeMove]:
@@ -128,20 +168,26 @@
 def _even_out(
     plan: PlanInput, loads: _Loads, owned: dict[str, list[KeyRange]]
 ) -> list[RangeMove]:
-    moves: list[RangeMove] = []
+    moves = _speed_up_dominant(plan, loads, owned)
+    for move in moves:
+        _leave_out(owned, move)
     while len(moves) < MAX_MOVES:
         move = _best_move(plan, loads, owned)
         if move is None:
             break
         moves.append(move)
         loads.transfer(plan.profile.load(move.keys), move.source, move.destination)
-        # What was moved once stays out of this plan.
-        owned[move.source] = [
-            part for item in owned[move.source] for part in item.minus([move.keys])
-        ]
+        _leave_out(owned, move)
     return moves
 
 
+def _leave_out(owned: dict[str, list[KeyRange]], move: RangeMove) -> None:
+    """Leave keys that were moved once out of the rest of a plan."""
+    owned[move.source] = [
+        part for item in owned[move.source] for part in item.minus([move.keys])
+    ]
+
+
 def _best_move(
     plan: PlanInput, loads: _Loads, owned: dict[str, list[KeyRange]]
 ) -> RangeMove | None:
@@ -169,6 +215,10 @@
 ) -> KeyRange | None:
     """Return the part of a source's keys whose move evens out two targets."""
     wanted = _rate_to_transfer(loads, source, destination)
+    if wanted <= 0:
+        return None
+    dominant = _dominant_key(plan.profile, owned[source], loads.capacities[source])
+    least = MIN_PIECE * wanted if dominant is None else MIN_OFFLOAD
     neighbours = {
         bound
         for item in plan.table.owned_by(destination)
@@ -176,21 +226,38 @@
     }
     best: tuple[float, KeyRange] | None = None
     for keys in owned[source]:
-        for piece in _pieces(plan.profile, keys, wanted):
+        for piece in _pieces(plan.profile, keys, wanted, dominant):
             rate = plan.profile.load(piece)
-            if not MIN_PIECE * wanted <= rate <= MAX_PIECE * wanted:
+            if not least <= rate <= MAX_PIECE * wanted:
                 continue
             error = abs(rate - wanted) / wanted
+            error += WIDTH_WEIGHT * (piece.end - piece.start) / KEY_SPACE
             if neighbours.isdisjoint((piece.start, piece.end)) and piece != keys:
-                # One more range to renew.
-                error += 0.2
+                error += FRAGMENT_WEIGHT
             if best is None or error < best[0]:
                 best = (error, piece)
     return best[1] if best else None
 
 
-def _pieces(profile: LoadProfile, keys: KeyRange, wanted: float) -> list[KeyRange]:
-    """Return the whole range, or a piece from each of its ends."""
+def _dominant_key(
+    profile: LoadProfile, ranges: list[KeyRange], capacity: float
+) -> int | None:
+    """Return the key that alone fills most of a target, or None."""
+    hottest = [profile.hottest(keys) for keys in ranges]
+    key, rate = max(hottest, key=lambda item: item[1], default=(0, 0.0))
+    return key if rate > DOMINANT_SHARE * capacity else None
+
+
+def _pieces(
+    profile: LoadProfile, keys: KeyRange, wanted: float, dominant: int | None
+) -> list[KeyRange]:
+    """Return the whole range, or a piece from each of its ends.
+
+    A range with a dominant key is cut around that key first.
+    """
+    if dominant is not None and keys.start <= dominant < keys.end:
+        sides = keys.minus([KeyRange(dominant, dominant + 1)])
+        return [p for side in sides for p in _pieces(profile, side, wanted, None)]
     rate = profile.load(keys)
     pieces = [keys] if rate <= MAX_PIECE * wanted else []
     for share in (wanted, rate - wanted):
@@ -203,6 +270,27 @@
     return pieces
 
 
+def _speed_up_dominant(
+    plan: PlanInput, loads: _Loads, owned: dict[str, list[KeyRange]]
+) -> list[RangeMove]:
+    """Move dominant keys to the fastest target that isn't taken by another."""
+    found = {
+        source: key
+        for source, ranges in owned.items()
+        if (key := _dominant_key(plan.profile, ranges, plan.capacities[source]))
+        is not None
+    }
+    moves = []
+    for source, key in found.items():
+        free = [name for name in plan.capacities if name not in found]
+        fastest = max(free, key=plan.capacities.__getitem__, default=source)
+        if plan.capacities[fastest] > FASTER_FACTOR * plan.capacities[source]:
+            keys = KeyRange(key, key + 1)
+            loads.transfer(plan.profile.load(keys), source, fastest)
+            moves.append(RangeMove(keys, source, fastest, "dominant_key"))
+    return moves
+
+
 def _rate_to_transfer(loads: _Loads, source: str, destination: str) -> float:
     """Return the rate whose move makes both equally busy (1/s)."""
     a, b = loads.capacities[source], loads.capacities[destination]
--- /dev/null
+++ b/packages/ownership/tests/test_planner.py
@@ -0,0 +1,127 @@
+"""Plans under loads that the sites showed, against the plainer even division."""
+
+import random
+
+import pytest
+
+from peridot_ownership.loads import KeyLoads, LoadProfile
+from peridot_ownership.planner import PlanInput, plan_moves
+from peridot_ownership.ranges import ALL_KEYS, KEY_SPACE, KeyRange, RangeTable
+
+TARGETS = 14
+# Rounds of planning after which the load must be even.
+ROUNDS = 12
+
+
+def make_profile(rates: dict[int, float]) -> LoadProfile:
+    loads = KeyLoads()
+    loads.add([(key, 1) for key in rates], 0.0)
+    profile = loads.profile(0.0)
+    unit = profile.sums[1]
+    loads.weights = {key: rate / unit for key, rate in rates.items()}
+    return loads.profile(0.0)
+
+
+def settle(profile: LoadProfile, capacities: dict[str, float]) -> RangeTable:
+    """Apply plans as the placer does, all moves at once."""
+    table = RangeTable()
+    for _ in range(ROUNDS):
+        for move in plan_moves(PlanInput(table, profile, capacities)):
+            table.assign(move.keys, move.destination, 1)
+    return table
+
+
+def utilisations(
+    table: RangeTable, profile: LoadProfile, capacities: dict[str, float]
+) -> dict[str, float]:
+    found = dict.fromkeys(capacities, 0.0)
+    for item in table.ranges:
+        found[item.owner] += profile.load(item.keys) / capacities[item.owner]
+    return found
+
+
+def mixed_speeds() -> dict[str, float]:
+    speeds = (0.6, 1.0, 1.4)
+    return {f"t{i}": 18.75 * speeds[i % 3] for i in range(TARGETS)}
+
+
+def busy_neighbourhood(seed: int) -> dict[int, float]:
+    """Zipf rates, 89 requests/s, whose busiest keys lie within 1,000 of each other."""
+    rng = random.Random(seed)
+    rates = {}
+    for rank in range(1, 4_000):
+        near = rng.random() < 1 / (1 + rank / 400)
+        key = 40_500 + rng.randrange(1_000) if near else rng.randrange(KEY_SPACE)
+        rates[key] = rates.get(key, 0.0) + rank**-0.7
+    scale = 89 / sum(rates.values())
+    return {key: rate * scale for key, rate in rates.items()}
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_busy_keys_that_are_neighbours_are_spread(seed):
+    profile = make_profile(busy_neighbourhood(seed))
+    capacities = mixed_speeds()
+    table = settle(profile, capacities)
+    assert max(utilisations(table, profile, capacities).values()) < 0.6
+
+
+def test_even_ranges_leave_the_busy_neighbourhood_on_one_target():
+    """The plainer policy that the planner replaces."""
+    profile = make_profile(busy_neighbourhood(1))
+    capacities = mixed_speeds()
+    table = RangeTable()
+    for number, name in enumerate(capacities):
+        start = KEY_SPACE * number // TARGETS
+        end = KEY_SPACE * (number + 1) // TARGETS
+        table.assign(KeyRange(start, end), name, 1)
+    assert max(utilisations(table, profile, capacities).values()) > 1.0
+
+
+def test_a_dominant_key_gets_a_fast_target_alone():
+    rates = busy_neighbourhood(2) | {2_153: 40.0}
+    profile = make_profile(rates)
+    capacities = mixed_speeds()
+    table = settle(profile, capacities)
+    owner = table.find(2_153).owner
+    assert capacities[owner] == max(capacities.values())
+    others = sum(profile.load(item.keys) for item in table.owned_by(owner)) - 40.0
+    assert others < 0.15 * capacities[owner]
+
+
+def test_a_dominant_key_does_not_bind_its_neighbours():
+    """A slow owner of a range with one hot key gives the rest of the range away."""
+    rates = {40_960 + i: 0.2 for i in range(100)} | {41_000: 12.0}
+    profile = make_profile(rates)
+    capacities = {"slow": 11.0, "a": 20.0, "b": 20.0}
+    table = RangeTable()
+    table.assign(ALL_KEYS, "slow", 1)
+    for _ in range(ROUNDS):
+        for move in plan_moves(PlanInput(table, profile, capacities)):
+            table.assign(move.keys, move.destination, 1)
+    found = utilisations(table, profile, capacities)
+    assert found["slow"] < 0.8
+    assert max(found.values()) < 1.0
+
+
+def test_targets_that_join_get_keys():
+    profile = make_profile(busy_neighbourhood(3))
+    capacities = mixed_speeds()
+    table = settle(profile, capacities)
+    capacities["new"] = 18.75
+    for move in plan_moves(PlanInput(table, profile, capacities)):
+        table.assign(move.keys, move.destination, 1)
+    assert table.owned_by("new")
+
+
+def test_keys_under_way_are_left_alone():
+    profile = make_profile(busy_neighbourhood(4))
+    capacities = mixed_speeds()
+    plan = PlanInput(RangeTable(), profile, capacities, (KeyRange(0, 30_000),))
+    assert all(move.keys.start >= 30_000 for move in plan_moves(plan))
+
+
+def test_an_even_load_is_left_alone():
+    profile = make_profile({key: 0.3 for key in range(0, KEY_SPACE, 200)})
+    capacities = {f"t{i}": 18.75 for i in range(TARGETS)}
+    table = settle(profile, capacities)
+    assert not plan_moves(PlanInput(table, profile, capacities))
