Secure each key range by itself, and let a placer that leaves stay resigned

Cause: a target counted as secured although all its ranges were under way, so a move skipped the release (OWNER). A leaving placer took its own term again every 0.1 s, and members tried with the record's version from before the beats. Streams were ended by a method that doesn't exist, which swallowed the cancellation, so processes outlived the grace time (LOST). Closed connections delivered held-up grants after a cut healed. Ruled out: late grants as the cause of the first (the fences were of one placer).

--- a/packages/gateway/peridot_gateway/fleet.py
+++ b/packages/gateway/peridot_gateway/fleet.py
@@ -103,6 +103,7 @@
         self.followed: Holder | None = None
         self.sighting = Sighting()
         self.leaving = False
+        self.gave_up = False
         self.changed = ChangeSignal()
         self.server = FleetServer(
             self._take_report,
@@ -148,15 +149,38 @@
             await asyncio.sleep(RETRY_S)
             return
         if record.holder == self.me:
-            # A term of this instance that it gave up, or whose write lost its answer.
-            await self._take_term(found)
+            await self._face_own_term(found)
             return
         self._take_stored_owners(record)
         end = await self._follow(record.holder)
-        if await self._may_take(record.holder, end):
+        if not await self._may_take(record.holder, end):
+            await asyncio.sleep(RETRY_S)
+            return
+        await self._take_from(record.holder)
+
+    async def _take_from(self, holder: Holder) -> None:
+        """Take the term if the record still names the placer that was lost."""
+        found = await self.parts.store.read(RECORD_KIND, RECORD_NAME)
+        if not isinstance(found, StoredObject):
+            return
+        try:
+            record = parse_record(found.value)
+        except InvalidRecord as error:
+            self.parts.log.write("record_unreadable", reason=error)
+            return
+        if record.holder == holder:
             await self._take_term(found)
-        else:
+
+    async def _face_own_term(self, found: StoredObject) -> None:
+        """Leave a term that this VM gave up to others; take up one that it didn't.
+
+        The latter is the term of a first write whose answer was lost.
+        """
+        stagnant_s = boot_time() - self.sighting.since
+        if self.leaving or (self.gave_up and stagnant_s < STAGNANT_S):
             await asyncio.sleep(RETRY_S)
+            return
+        await self._take_term(found)
 
     def _take_stored_owners(self, record: PlacementRecord) -> None:
         """Route by the stored owners until the placer sends newer ones."""
@@ -234,6 +258,7 @@
 
     async def _lead(self, recorder: Recorder) -> None:
         parts = self.parts
+        self.gave_up = False
         parts.log.write("term_taken", term=recorder.record.term)
         placer = Placer(
             recorder, parts.control, parts.load, parts.log, parts.hold_max_s
@@ -256,6 +281,7 @@
         next_report = 0.0
         while not placer.recorder.ended.done():
             if self._should_resign(placer.recorder):
+                self.gave_up = True
                 placer.recorder.fail(TermLost("given up"))
                 return
             changed = placer.changed.next
--- a/packages/gateway/peridot_gateway/links.py
+++ b/packages/gateway/peridot_gateway/links.py
@@ -17,6 +17,8 @@
 REPORT_PERIOD_S = 0.25
 CONNECT_TIMEOUT_S = 0.4
 ASK_TIMEOUT_S = 0.3
+# Members' streams don't hold up the end of the process.
+CLOSE_TIMEOUT_S = 0.1
 # Three states are missing: the placer is frozen, cut off or gone.
 SILENT_S = 0.8
 # A member that is silent for this long has left.
@@ -105,7 +107,9 @@
         yield
     finally:
         grpc_server.close()
-        await grpc_server.wait_closed()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                await grpc_server.wait_closed()
 
 
 async def follow_placer(
@@ -145,7 +149,8 @@
             reporting.cancel()
             with suppress(asyncio.CancelledError, *LINK_ERRORS):
                 await reporting
-            await stream.reset()
+            with suppress(*LINK_ERRORS):
+                await stream.cancel()
 
 
 async def _report(stream, build_report: Callable[[], pb.FleetReport]) -> None:
--- a/packages/gateway/peridot_gateway/sender.py
+++ b/packages/gateway/peridot_gateway/sender.py
@@ -21,6 +21,7 @@
 from peridot_gateway.dialect import AnswerFacts, Dialect
 from peridot_gateway.estimates import Estimates
 from peridot_gateway.requests import GatewayRequest, end_to_end
+from peridot_gateway.sockets import open_connector
 from peridot_resources.configuration import ServingTarget
 from peridot_routing.attempts import AUTO_HEADERS, BODYLESS_STATUSES
 from peridot_routing.outcomes import Answered, NotRun, Outcome, Reason, Unknown
@@ -57,14 +58,14 @@
     """
 
     def __init__(self) -> None:
-        self.kept = open_session(TCPConnector(limit=0, keepalive_timeout=KEPT_IDLE_S))
-        self.fresh = open_session(TCPConnector(limit=0, force_close=True))
+        self.kept = open_session(open_connector(keepalive_timeout=KEPT_IDLE_S))
+        self.fresh = open_session(open_connector(force_close=True))
         self.retired: list[ClientSession] = []
 
     def renew(self) -> None:
         """Leave the kept connections, which may have gone silent, to their requests."""
         self.retired.append(self.kept)
-        self.kept = open_session(TCPConnector(limit=0, keepalive_timeout=KEPT_IDLE_S))
+        self.kept = open_session(open_connector(keepalive_timeout=KEPT_IDLE_S))
 
     async def close(self) -> None:
         """Close all connections."""
--- a/packages/ownership/peridot_ownership/placer.py
+++ b/packages/ownership/peridot_ownership/placer.py
@@ -20,7 +20,7 @@
 )
 from peridot_ownership.loads import KeyLoads
 from peridot_ownership.planner import PlanInput, RangeMove, measure_balance, plan_moves
-from peridot_ownership.ranges import KeyRange, OwnedRange, RangeTable
+from peridot_ownership.ranges import ALL_KEYS, KeyRange, OwnedRange, RangeTable
 from peridot_ownership.record import PlacementRecord
 from peridot_ownership.recorder import CONFIRMED_S, Recorder
 from peridot_placement.clock import boot_time
@@ -78,10 +78,20 @@
     target: ServingTarget
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     failing_since: float | None = None
-    # Whether it has taken a grant of this term for all its keys.
-    secured: bool = False
+    # Keys for which it took a grant of this term: grants of earlier terms are void.
+    secured: list[KeyRange] = field(default_factory=list)
     task: asyncio.Task | None = None
 
+    def is_secured(self, keys: KeyRange) -> bool:
+        """Tell whether no grant of an earlier term can hold any of the keys."""
+        return not keys.minus(self.secured)
+
+    def secure(self, keys: KeyRange) -> None:
+        """Take in that the target took a grant of this term."""
+        if not self.is_secured(keys):
+            kept = [item for item in self.secured if item.minus([keys])]
+            self.secured = [*kept, keys]
+
 
 class Placer:
     """Run one term."""
@@ -161,14 +171,11 @@
         table = self.record.tables.get(service)
         if table is None:
             return
-        complete = True
         for item in table.owned_by(contact.target.name):
             for keys in item.keys.minus(self.moving.get(service, ())):
                 outcome = await self._grant(contact, keys, item.fence)
-                complete = complete and isinstance(outcome, Granted)
                 if not isinstance(outcome, Granted | Outranked):
                     return
-        contact.secured = contact.secured or complete
 
     async def _grant(
         self,
@@ -187,6 +194,7 @@
         self._note_contact(contact, outcome, now)
         if isinstance(outcome, Granted):
             self.book.void_unanswered(target.name, keys, hold)
+            contact.secure(keys)
         elif isinstance(outcome, Replaced):
             self.book.forget(target.name)
         if not isinstance(outcome, Granted) or handover is not None:
@@ -233,7 +241,9 @@
             for target in self.view.targets_of(service):
                 contact = self.contacts.get(target.name)
                 if contact is None:
-                    contact = Contact(target, secured=self.record.term == 1)
+                    contact = Contact(target)
+                    if self.record.term == 1:
+                        contact.secure(ALL_KEYS)
                     self.contacts[target.name] = contact
                     contact.task = self._spawn(self._keep(target.name))
                 elif contact.target.started_ms != target.started_ms:
@@ -246,7 +256,7 @@
         """Give a restarted target its keys anew, with higher fences."""
         target = contact.target
         self.book.forget(target.name)
-        contact.secured = True
+        contact.secure(ALL_KEYS)
         self.log.write("target_restarted", target=target.name, at=target.started_ms)
         table = self.record.tables.get(target.service, RangeTable())
         for item in table.owned_by(target.name):
@@ -379,13 +389,13 @@
         if contact.failing_since is not None:
             return
         late = self.book.has_unanswered(name, keys, boot_time())
-        if late or not contact.secured:
+        if late or not contact.is_secured(keys):
             await self._grant(contact, keys, self.record.next_fence())
 
     def _has_lapsed(self, contact: Contact, keys: KeyRange) -> bool:
         now = boot_time()
         ends = self.book.end_of(contact.target.name, keys, now)
-        if not contact.secured:
+        if not contact.is_secured(keys):
             ends = max(ends, self.earlier_rights_end)
         return now >= ends
 
