--- /dev/null
+++ b/packages/fakes/peridot_fakes/holders.py
@@ -0,0 +1,137 @@
+"""Targets that enforce holds, in memory, with faults on demand."""
+
+import asyncio
+from dataclasses import dataclass, field
+from time import monotonic
+
+from peridot_ownership.holds import (
+    Grant,
+    Granted,
+    GrantOutcome,
+    HoldControl,
+    Outranked,
+    Released,
+    ReleaseOutcome,
+    Replaced,
+    Unanswered,
+    Unreached,
+)
+from peridot_ownership.ranges import KeyRange
+from peridot_resources.configuration import ServingTarget
+
+
+@dataclass
+class HeldRange:
+    """Hold keys that a target holds until a time (s)."""
+
+    keys: KeyRange
+    fence: int
+    ends: float
+
+
+@dataclass
+class Holder:
+    """Act as one target: takes grants with rising fences, lets them run out."""
+
+    held: list[HeldRange] = field(default_factory=list)
+    seen: list[tuple[KeyRange, int]] = field(default_factory=list)
+    reachable: bool = True
+    # Grants that get no answer and take effect after this time (s).
+    late_s: float | None = None
+    replaced: bool = False
+    # Time that the work running on released keys takes (s).
+    work_s: float = 0.0
+
+    def take(self, grant: Grant, arrived: float) -> GrantOutcome:
+        """Take a grant whose time counts from its arrival (s)."""
+        if any(f > grant.fence and k.overlaps(grant.keys) for k, f in self.seen):
+            return Outranked()
+        self.seen.append((grant.keys, grant.fence))
+        self.drop(grant.keys)
+        ends = arrived + grant.hold_s
+        self.held.append(HeldRange(grant.keys, grant.fence, ends))
+        return Granted()
+
+    def drop(self, keys: KeyRange) -> None:
+        """Hold none of the keys any more."""
+        self.held = [
+            HeldRange(part, item.fence, item.ends)
+            for item in self.held
+            for part in item.keys.minus([keys])
+        ]
+
+    def holds(self, key: int, now: float) -> bool:
+        """Tell whether a key is held now."""
+        return any(
+            item.keys.start <= key < item.keys.end and item.ends > now
+            for item in self.held
+        )
+
+
+class MemoryHoldControl(HoldControl):
+    """Reach targets in memory; records every moment with two holders of a key."""
+
+    def __init__(self) -> None:
+        self.holders: dict[str, Holder] = {}
+        self.violations: list[str] = []
+        self.releases: list[tuple[str, KeyRange]] = []
+        self.late: set[asyncio.Task] = set()
+
+    def holder(self, name: str) -> Holder:
+        """Return the target with a name."""
+        return self.holders.setdefault(name, Holder())
+
+    async def grant(
+        self, target: ServingTarget, grant: Grant, timeout_s: float
+    ) -> GrantOutcome:
+        await asyncio.sleep(0)
+        holder = self.holder(target.name)
+        if holder.replaced:
+            return Replaced()
+        if not holder.reachable:
+            await asyncio.sleep(timeout_s)
+            return Unreached("unreachable")
+        arrived = monotonic()
+        if holder.late_s is not None:
+            late = asyncio.create_task(self._take_late(target.name, grant, arrived))
+            self.late.add(late)
+            late.add_done_callback(self.late.discard)
+            await asyncio.sleep(timeout_s)
+            return Unanswered("no answer")
+        outcome = holder.take(grant, arrived)
+        self.check()
+        return outcome
+
+    async def _take_late(self, name: str, grant: Grant, arrived: float) -> None:
+        holder = self.holder(name)
+        await asyncio.sleep(holder.late_s or 0.0)
+        holder.take(grant, arrived)
+        self.check()
+
+    async def release(
+        self, target: ServingTarget, keys: KeyRange, fence: int, timeout_s: float
+    ) -> ReleaseOutcome:
+        holder = self.holder(target.name)
+        if holder.replaced:
+            return Replaced()
+        if not holder.reachable:
+            await asyncio.sleep(timeout_s)
+            return Unreached("unreachable")
+        holder.drop(keys)
+        self.releases.append((target.name, keys))
+        await asyncio.sleep(holder.work_s)
+        return Released("token")
+
+    def check(self) -> None:
+        """Note each key range that two targets hold now."""
+        now = monotonic()
+        live = [
+            (name, item.keys)
+            for name, holder in self.holders.items()
+            for item in holder.held
+            if item.ends > now
+        ]
+        for at, (name, keys) in enumerate(live):
+            for other, other_keys in live[at + 1 :]:
+                if other != name and keys.overlaps(other_keys):
+                    self.violations.append(f"{name} {keys} and {other} {other_keys}")
--- /dev/null
+++ b/packages/fakes/peridot_fakes/site.py
@@ -0,0 +1,210 @@
+"""A small site of the operators' platform: store, servers and gateway processes."""
+
+import asyncio
+import os
+import signal
+import sys
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from pathlib import Path
+from uuid import uuid4
+
+import orjson
+from aiohttp import ClientError, ClientSession
+
+from peridot_fakes.fleet import free_ports
+from peridot_fakes.holdserver import HoldServer
+from peridot_fakes.objectapi import ObjectApi
+
+START_TIMEOUT_S = 15.0
+POLL_S = 0.05
+HOST = "site.example"
+GRACE_S = 3
+BOUNDS = (
+    f"graceS={GRACE_S}",
+    "holdMaxS=10",
+    "retryBudgetRatio=0.2",
+    "retryBudgetMin=60",
+    "retryWindowS=10",
+)
+ROUTE_COLUMNS = (
+    "name host pathPrefix routeType timeoutS targetLatencyS priority trafficSplit"
+    " maxAttempts service"
+).split()
+SERVICE_COLUMNS = "name healthPath maxConnections protocol tls sharded warmS".split()
+LIMITS = {
+    "maxHeaderBytes": 16_384,
+    "maxBodyBytes": 65_536,
+    "headerTimeoutS": 5,
+    "idleTimeoutS": 10,
+}
+
+
+def make_configuration(version: int, routes: list[list]) -> dict:
+    """Return a configuration with two services: files by key, orders without."""
+    services = [
+        ["files", "/health", 100, "h1", False, True, 1.0],
+        ["orders", "/health", 100, "h1", False, None, None],
+    ]
+    return {
+        "version": version,
+        "routes": {"columns": ROUTE_COLUMNS, "rows": routes},
+        "services": {"columns": SERVICE_COLUMNS, "rows": services},
+        "limits": LIMITS,
+    }
+
+
+FILES_ROUTE = ["r1", HOST, "/files/", "idempotent", 1.2, 0.5, 2, None, 2, "files"]
+ORDERS_ROUTE = [
+    "r2",
+    HOST,
+    "/orders/",
+    "non_idempotent",
+    1.5,
+    0.6,
+    1,
+    None,
+    2,
+    "orders",
+]
+
+
+class Gateways:
+    """Hold gateway processes by name."""
+
+    def __init__(self, folder: Path, store_port: int) -> None:
+        self.folder = folder
+        self.store_port = store_port
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.settings: dict[str, dict] = {}
+
+    def log(self, name: str) -> str:
+        """Return what a gateway has logged."""
+        return (self.folder / f"{name}.log").read_text()
+
+    def front(self, name: str) -> str:
+        """Return the address for callers."""
+        return self.settings[name]["listen"]["front"]
+
+    async def start(self, name: str) -> None:
+        """Start a gateway and return when it says that it is ready."""
+        if name not in self.settings:
+            self.settings[name] = self._make_settings(name)
+        path = self.folder / f"{name}.json"
+        path.write_bytes(orjson.dumps(self.settings[name]))
+        port = self.settings[name]["internalPortRange"][1]
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.processes[name] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "peridot_platform",
+                f"--metrics_port={port}",
+                stdout=log,
+                stderr=log,
+                env={**os.environ, "PERIDOTPADDLE_BOOT": str(path)},
+            )
+        await self._wait_until_ready(name)
+
+    async def end(self, name: str, number: int = signal.SIGTERM) -> int:
+        """Send a signal and return the exit code."""
+        process = self.processes.pop(name)
+        process.send_signal(number)
+        return await process.wait()
+
+    async def end_all(self) -> None:
+        """Kill all that run."""
+        for name in list(self.processes):
+            await self.end(name, signal.SIGKILL)
+
+    def _make_settings(self, name: str) -> dict:
+        return {
+            "node": name,
+            "ip": "127.0.0.1",
+            "zone": "zone-a",
+            "listen": {
+                "front": f"127.0.0.1:{free_ports(1)[0]}",
+                "ready": f"127.0.0.1:{free_ports(1)[0]}",
+            },
+            "internalPortRange": [free_ports(1)[0], free_ports(1)[0]],
+            "bounds": list(BOUNDS),
+            "platform": {"address": f"127.0.0.1:{self.store_port}"},
+        }
+
+    async def _wait_until_ready(self, name: str) -> None:
+        url = f"http://{self.settings[name]['listen']['ready']}/-/ready"
+        async with asyncio.timeout(START_TIMEOUT_S), ClientSession() as session:
+            while True:
+                try:
+                    async with session.get(url) as answer:
+                        if answer.status == 200:
+                            return
+                except (ClientError, OSError):
+                    pass
+                await asyncio.sleep(POLL_S)
+
+
+class Site:
+    """Hold a store, servers, gateways and a caller."""
+
+    def __init__(self, folder: Path) -> None:
+        self.api = ObjectApi()
+        self.store_port = free_ports(1)[0]
+        self.gateways = Gateways(folder, self.store_port)
+        self.servers: dict[str, HoldServer] = {}
+        self.stack = AsyncExitStack()
+
+    async def add_server(self, name: str, service: str, **options) -> HoldServer:
+        """Start a server and let it announce itself."""
+        server = HoldServer(
+            name,
+            service,
+            free_ports(1)[0],
+            divided_by_key=service == "files",
+            **options,
+        )
+        await self.stack.enter_async_context(server.serve())
+        self.servers[name] = server
+        await self.api.put("servers", name, server.entry())
+        return server
+
+    async def send(
+        self, gateway: str, method: str, path: str, key: int = 0, **options
+    ) -> tuple[int, bytes, dict[str, str], str]:
+        """Send one request; return status, body, headers and the attempt's id."""
+        attempt = uuid4().hex[:16]
+        headers = {
+            "Host": HOST,
+            "X-Attempt-Id": attempt,
+            "X-Request-Deadline-Ms": "1200",
+            "X-Shard-Key": str(key),
+        }
+        url = f"http://{self.gateways.front(gateway)}{path}"
+        async with self.session.request(
+            method, url, headers=headers, **options
+        ) as answer:
+            body = await answer.read()
+            return answer.status, body, dict(answer.headers), attempt
+
+    async def wait_until_served(self, gateway: str, key: int, limit_s: float) -> float:
+        """Return after how long (s) a key is served; fail after a limit."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        async with asyncio.timeout(limit_s):
+            while (await self.send(gateway, "GET", "/files/a", key))[0] != 200:
+                await asyncio.sleep(POLL_S)
+        return loop.time() - began
+
+
+@asynccontextmanager
+async def open_site(folder: Path) -> AsyncIterator[Site]:
+    """Run a store with a configuration while the context lasts."""
+    site = Site(folder)
+    async with site.stack:
+        await site.stack.enter_async_context(site.api.serve(site.store_port))
+        site.session = await site.stack.enter_async_context(ClientSession())
+        routes = [FILES_ROUTE, ORDERS_ROUTE]
+        await site.api.put("config", "main", make_configuration(1, routes))
+        try:
+            yield site
+        finally:
+            await site.gateways.end_all()
--- a/packages/gateway/peridot_gateway/daemon.py
+++ b/packages/gateway/peridot_gateway/daemon.py
@@ -38,7 +38,6 @@
 NOTICE_S = 2.6
 # Part of the stop's time that is kept for ending the process.
 STOP_MARGIN_S = 0.5
-DRAIN_POLL_S = 0.02
 # The connections of targets that are gone are closed at this period.
 SWEEP_S = 5.0
 # The settings file may change without a signal.
@@ -140,7 +139,7 @@
         await enter(serve_fleet(self.fleet.server, settings.fleet_listener))
         await enter(serve_pages(settings.ready_listener, self._ready_page))
         await enter(serve_pages(settings.metrics_listener, self._metrics_page))
-        self.site = await enter(self.ingress.serve(settings.caller_listener))
+        await enter(self.ingress.serve(settings.caller_listener))
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Leave the rotation, finish what is open, and stop."""
@@ -150,9 +149,7 @@
         self.ingress.stopping = True
         self.fleet.leaving = True
         await asyncio.sleep(min(NOTICE_S, self.settings.stop_timeout_s / 2))
-        await self.site.stop()
-        while self._is_busy() and monotonic() < ends:
-            await asyncio.sleep(DRAIN_POLL_S)
+        await self.ingress.close(ends)
         cut = self.ingress.open_requests
         for task in self.tasks:
             task.cancel()
@@ -203,9 +200,6 @@
         except OSError:
             return None
 
-    def _is_busy(self) -> bool:
-        return bool(self.ingress.open_requests or self.ingress.orders)
-
     def _ready_page(self, request: web.BaseRequest) -> web.Response:
         if request.path != self.surroundings.dialect.ready_path:
             return web.Response(status=404)
--- a/packages/gateway/peridot_gateway/estimates.py
+++ b/packages/gateway/peridot_gateway/estimates.py
@@ -40,6 +40,8 @@
     failure_rate: float = 0.0
     failure_at: float = 0.0
     avoid_until: float = 0.0
+    # When it last answered anything (s).
+    answered_at: float = float("-inf")
     # Since the last report to the placer; work times without waits.
     finished: int = 0
     failed: int = 0
@@ -62,6 +64,7 @@
         The queue is taken to have been as long when the request came as it is now.
         """
         self.finished += 1
+        self.answered_at = now
         self._note_result(0.0, now)
         if hint is not None:
             took_s /= 1 + hint.waiting / max(1, hint.slots)
--- a/packages/gateway/peridot_gateway/ingress.py
+++ b/packages/gateway/peridot_gateway/ingress.py
@@ -35,6 +35,11 @@
 BAD_GATEWAY_STATUS = 502
 GATEWAY_TIMEOUT_STATUS = 504
 NOT_READY_RETRY_MS = 500
+CLOSE_POLL_S = 0.02
+# Callers send the rest of a request within this time.
+QUIET_S = 0.3
+# What begins at the very end still gets its answer.
+SHUTDOWN_TIMEOUT_S = 0.4
 # Idle connections are kept this much longer than callers reuse them.
 IDLE_MARGIN_S = 5.0
 
@@ -62,9 +67,9 @@
         self.orders: set[asyncio.Task] = set()
 
     @asynccontextmanager
-    async def serve(self, address: str) -> AsyncIterator[web.SockSite]:
+    async def serve(self, address: str) -> AsyncIterator[None]:
         """Listen for callers while the context lasts."""
-        server = web.Server(
+        self.server = web.Server(
             self.handle,
             handler_cancellation=True,
             access_log=None,
@@ -73,16 +78,28 @@
             max_field_size=MAX_LINE_BYTES,
             keepalive_timeout=self._idle_s(),
         )
-        runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        runner = web.ServerRunner(self.server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await runner.setup()
         host, port = split_address(address)
-        site = web.TCPSite(runner, host, port, backlog=1024)
+        self.site = web.TCPSite(runner, host, port, backlog=1024)
         try:
-            await site.start()
-            yield site
+            await self.site.start()
+            yield
         finally:
             await runner.cleanup()
 
+    async def close(self, ends: float) -> None:
+        """Take no new connections; return once all is quiet, or at a time (s).
+
+        Requests may still come on open connections, which close with their answer.
+        """
+        await self.site.stop()
+        quiet_since = monotonic()
+        while (now := monotonic()) < min(ends, quiet_since + QUIET_S):
+            if self.open_requests or self.orders:
+                quiet_since = now
+            await asyncio.sleep(CLOSE_POLL_S)
+
     def _idle_s(self) -> float:
         return self.source.configuration.limits.idle_timeout_s + IDLE_MARGIN_S
 
--- a/packages/gateway/peridot_gateway/sender.py
+++ b/packages/gateway/peridot_gateway/sender.py
@@ -1,6 +1,8 @@
 """Send one attempt to a target over HTTP and tell its outcome."""
 
 import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from time import monotonic
 
@@ -19,7 +21,7 @@
 from yarl import URL
 
 from peridot_gateway.dialect import AnswerFacts, Dialect
-from peridot_gateway.estimates import Estimates
+from peridot_gateway.estimates import Estimates, TargetEstimate
 from peridot_gateway.requests import GatewayRequest, end_to_end
 from peridot_gateway.sockets import open_connector
 from peridot_resources.configuration import ServingTarget
@@ -73,6 +75,28 @@
             await session.close()
 
 
+@asynccontextmanager
+async def end_if_silent(
+    estimate: TargetEstimate, limit_s: float
+) -> AsyncIterator[None]:
+    """Raise TimeoutError after a time, later if the target answers other requests."""
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(None) as limit:
+
+        def check() -> None:
+            nonlocal handle
+            if monotonic() - estimate.answered_at > limit_s / 2:
+                limit.reschedule(loop.time())
+            else:
+                handle = loop.call_later(limit_s / 2, check)
+
+        handle = loop.call_later(limit_s, check)
+        try:
+            yield
+        finally:
+            handle.cancel()
+
+
 def open_session(connector: TCPConnector) -> ClientSession:
     """Return a session that adds nothing of its own to requests."""
     return ClientSession(
@@ -94,12 +118,15 @@
     async def attempt(
         self, request: GatewayRequest, target: ServingTarget, limit_s: float
     ) -> Attempt:
-        """Send a request once, for a limited time, and return the outcome."""
+        """Send a request once and return the outcome.
+
+        A target that is silent for a limit (s) is given up before the deadline.
+        """
         connections = self._connections(target)
         session = connections.kept if request.route.idempotent else connections.fresh
         began = monotonic()
         with self.estimates.attempt(target.name, request.route) as estimate:
-            found = await self._send(session, request, target, limit_s)
+            found = await self._send(session, request, target, limit_s, estimate)
             now = monotonic()
             match found.outcome:
                 case Answered(status=status):
@@ -141,20 +168,24 @@
         request: GatewayRequest,
         target: ServingTarget,
         limit_s: float,
+        estimate: TargetEstimate,
     ) -> Attempt:
-        left_s = min(limit_s, request.left_s() - DEADLINE_MARGIN_S)
+        left_s = request.left_s() - DEADLINE_MARGIN_S
         if left_s <= 0:
             return Attempt(NotRun(Reason.DEADLINE))
         headers = self.dialect.target_headers(request, target, left_s - TRANSFER_S)
         try:
-            async with session.request(
-                request.method,
-                URL(f"http://{target.address}{request.path}", encoded=True),
-                headers=CIMultiDict(headers),
-                data=request.body or None,
-                timeout=ClientTimeout(total=left_s, sock_connect=CONNECT_TIMEOUT_S),
-                allow_redirects=False,
-            ) as answer:
+            async with (
+                end_if_silent(estimate, limit_s),
+                session.request(
+                    request.method,
+                    URL(f"http://{target.address}{request.path}", encoded=True),
+                    headers=CIMultiDict(headers),
+                    data=request.body or None,
+                    timeout=ClientTimeout(total=left_s, sock_connect=CONNECT_TIMEOUT_S),
+                    allow_redirects=False,
+                ) as answer,
+            ):
                 return await self._read(answer, request, target)
         except ClientConnectorError as error:
             return Attempt(NotRun(Reason.CONNECTION_REFUSED, detail=str(error)))
--- a/packages/gateway/peridot_gateway/sources.py
+++ b/packages/gateway/peridot_gateway/sources.py
@@ -19,8 +19,11 @@
 from peridot_placement.signals import ChangeSignal
 from peridot_resources.configuration import Configuration, ServingTarget
 
-# A connection that has gone silent is noticed after a watch and its margin.
-WATCH_S = 6.0
+# A connection that has gone silent is noticed after a watch and its margin, in time
+# for changes to be in force 5 s later (3 s to settle, 2 s to take effect).
+WATCH_S = 3.5
+# While the store doesn't answer, shorter watches notice its return.
+LOST_WATCH_S = 0.3
 RETRY_S = 0.25
 # Changes that come together are fetched together, to save calls.
 GATHER_TARGETS_S = 0.3
@@ -79,7 +82,8 @@
 
     async def _watch(self) -> bool:
         """Return whether the watch can go on; if not, list again."""
-        outcome = await self.store.watch([self.kind], self.revision, WATCH_S)
+        limit_s = WATCH_S if self.reachable else LOST_WATCH_S
+        outcome = await self.store.watch([self.kind], self.revision, limit_s)
         if isinstance(outcome, RevisionTooOld):
             self.log.write("history_gone", kind=self.kind, revision=self.revision)
             return False
