--- /dev/null
+++ b/packages/fakes/tests/test_adapter.py
@@ -0,0 +1,194 @@
+"""The adapter: the platform's names and formats, decoded once."""
+
+import asyncio
+
+import orjson
+import pytest
+
+from peridot_fakes.fleet import free_ports
+from peridot_fakes.objectapi import ObjectApi
+from peridot_fakes.site import FILES_ROUTE, ORDERS_ROUTE, make_configuration
+from peridot_gateway.dialect import InvalidObject
+from peridot_objects.outcomes import (
+    Conflict,
+    Listing,
+    Missing,
+    RevisionTooOld,
+    StoredObject,
+    StoreUnavailable,
+    WriteUnknown,
+    Written,
+)
+from peridot_platform import store as store_module
+from peridot_platform.configuration import parse_configuration
+from peridot_platform.dialect import PlatformDialect
+from peridot_platform.errors import InvalidSettingsFile
+from peridot_platform.settings import load_settings
+from peridot_platform.store import PlatformObjectStore
+from peridot_platform.targets import parse_target
+
+
+def with_store(scene) -> None:
+    async def play():
+        port = free_ports(1)[0]
+        api = ObjectApi()
+        store = PlatformObjectStore(f"127.0.0.1:{port}")
+        async with api.serve(port):
+            await scene(api, store)
+            await store.close()
+
+    asyncio.run(play())
+
+
+def test_ranks_and_attempts_are_translated():
+    """On the wire, 0 is the highest rank; inside, larger numbers rank higher."""
+    form = make_configuration(3, [FILES_ROUTE, ORDERS_ROUTE])
+    found = parse_configuration(orjson.dumps(form))
+    files, orders = found.routes
+    assert orders.priority > files.priority
+    assert files.idempotent and not orders.idempotent
+    assert files.max_targets == 2
+    assert found.services["files"].divided_by_key
+    assert not found.services["orders"].divided_by_key
+
+
+def test_splits_have_weights():
+    row = list(FILES_ROUTE)
+    row[7] = [{"service": "files", "weight": 90}, {"service": "orders", "weight": 10}]
+    row[9] = None
+    found = parse_configuration(orjson.dumps(make_configuration(3, [row])))
+    assert [(s.service, s.weight) for s in found.routes[0].shares] == [
+        ("files", 90.0),
+        ("orders", 10.0),
+    ]
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"slots": "3"},
+        {"slots": 0},
+        {"slots": True},
+        {"state": "asleep"},
+        {"service": None},
+        {"address": "nowhere"},
+        {"address": "127.0.0.1:99999"},
+        {"warmupLeftS": {}},
+    ],
+)
+def test_entries_of_other_writers_are_refused(change):
+    form = {
+        "service": "files",
+        "address": "127.0.0.1:1",
+        "zone": "a",
+        "slots": 3,
+        "state": "ready",
+        "born": 5,
+    }
+    assert parse_target("t", orjson.dumps(form)).started_ms == 5
+    with pytest.raises(InvalidObject):
+        parse_target("t", orjson.dumps(form | change))
+
+
+def test_broken_bytes_are_refused():
+    for text in (b"", b"{", b"[]", b"null", b"\xff\xfe"):
+        with pytest.raises(InvalidObject):
+            parse_target("t", text)
+        with pytest.raises(InvalidObject):
+            parse_configuration(text)
+
+
+def test_headers_of_answers(make_gateway_request):
+    read = PlatformDialect().read_facts
+    request = make_gateway_request("id-1")
+    mine = {"X-Attempt-Id": "id-1", "X-Upstream-Signature": "s"}
+    facts = read(200, mine | {"X-Upstream-Load": "3,0,8"}, request)
+    assert facts.signed and not facts.foreign and not facts.not_run
+    assert (facts.load.running, facts.load.waiting, facts.load.slots) == (3, 0, 8)
+    assert read(200, mine | {"X-Attempt-Id": "id-2"}, request).foreign
+    assert read(503, {"X-Not-Executed": "1"}, request).not_run
+    assert read(421, {}, request).misdirected
+    assert read(200, mine | {"X-Upstream-Load": "3,x"}, request).load is None
+
+
+@pytest.fixture
+def make_gateway_request():
+    from types import SimpleNamespace
+
+    return lambda request_id: SimpleNamespace(request_id=request_id)
+
+
+def test_lists_come_in_pages():
+    async def scene(api, store):
+        for number in range(120):
+            await api.put("servers", f"s{number:03}", {"n": number})
+        found = await store.list(["servers"])
+        assert isinstance(found, Listing)
+        assert len(found.objects) == 120
+        assert found.revision == 120
+
+    with_store(scene)
+
+
+def test_writes_are_conditional():
+    async def scene(api, store):
+        created = await store.write("k", "n", b'{"a":1}', 0)
+        assert isinstance(created, Written)
+        assert isinstance(await store.write("k", "n", b'{"a":2}', 0), Conflict)
+        changed = await store.write("k", "n", b'{"a":2}', created.version)
+        assert isinstance(changed, Written)
+        stale = await store.write("k", "n", b'{"a":3}', created.version)
+        assert stale == Conflict(changed.version)
+        found = await store.read("k", "n")
+        assert isinstance(found, StoredObject) and found.value == b'{"a":2}'
+        assert await store.read("k", "other") == Missing()
+        assert await store.write("k", "other", b"{}", 7) == Conflict(0)
+
+    with_store(scene)
+
+
+def test_a_refused_write_had_no_effect_and_a_lost_answer_is_unknown(monkeypatch):
+    monkeypatch.setattr(store_module, "CALL_TIMEOUT_S", 0.3)
+
+    async def scene(api, store):
+        for status in (503, 429):
+            api.refuse_status = status
+            assert isinstance(await store.write("k", "n", b"{}", 0), StoreUnavailable)
+        api.refuse_status = None
+        api.lose_answers = 1
+        assert isinstance(await store.write("k", "n", b"{}", 0), WriteUnknown)
+        assert isinstance(await store.read("k", "n"), StoredObject)
+
+    with_store(scene)
+
+
+def test_an_unreachable_store_refuses_writes():
+    async def play():
+        store = PlatformObjectStore(f"127.0.0.1:{free_ports(1)[0]}")
+        assert isinstance(await store.write("k", "n", b"{}", 0), StoreUnavailable)
+        await store.close()
+
+    asyncio.run(play())
+
+
+def test_watches_return_changes_or_the_end_of_history():
+    async def scene(api, store):
+        await api.put("servers", "a", {"n": 1})
+        since = api.revision
+        await api.put("servers", "b", {"n": 2})
+        await api.remove("servers", "a")
+        batch = await store.watch(["servers"], since, 0.2)
+        assert [change.name for change in batch.changes] == ["b", "a"]
+        assert batch.revision == api.revision
+        api.forget_history()
+        assert isinstance(await store.watch(["servers"], 1, 0.2), RevisionTooOld)
+
+    with_store(scene)
+
+
+def test_unreadable_settings_are_named(tmp_path):
+    path = tmp_path / "node.json"
+    for text in ("", "{", "{}", "[]"):
+        path.write_text(text)
+        with pytest.raises(InvalidSettingsFile):
+            load_settings(path, 1)
--- /dev/null
+++ b/packages/gateway/tests/test_picker.py
@@ -0,0 +1,73 @@
+"""Choice among targets of a service that isn't divided by key."""
+
+import random
+from collections import Counter
+
+from peridot_gateway.estimates import Estimates
+from peridot_gateway.picker import Picker
+
+
+def pick_many(picker, targets, count=300, tried=()):
+    return Counter(picker.pick(targets, tried).name for _ in range(count))
+
+
+def make_picker(estimates):
+    return Picker("a", estimates, random.Random(1))
+
+
+def test_a_grey_target_gets_little(make_target):
+    """Answers the pattern of a target that fails half while its health is good."""
+    estimates = Estimates()
+    targets = [make_target(name) for name in "pqrstu"]
+    for item in targets:
+        estimates.of(item.name).measured = True
+    grey = estimates.of("p")
+    from time import monotonic
+
+    for number in range(30):
+        if number % 2:
+            grey.note_failure(monotonic())
+        else:
+            grey.note_answer(0.2, None, monotonic())
+    assert pick_many(make_picker(estimates), targets)["p"] < 10
+
+
+def test_a_slow_target_gets_less(make_target):
+    estimates = Estimates()
+    targets = [make_target(name) for name in "pqrs"]
+    estimates.of("p").work_s = 1.2
+    for name in "qrs":
+        estimates.of(name).work_s = 0.2
+    assert pick_many(make_picker(estimates), targets)["p"] == 0
+
+
+def test_the_backlog_of_other_vms_counts(make_target):
+    from time import monotonic
+
+    estimates = Estimates()
+    targets = [make_target(name) for name in "pq"]
+    busy = estimates.of("p")
+    busy.others_in_flight, busy.others_at = 9, monotonic()
+    assert pick_many(make_picker(estimates), targets)["q"] == 300
+
+
+def test_leaving_and_tried_targets_are_left_out(make_target):
+    estimates = Estimates()
+    targets = [make_target("p", leaving=True), make_target("q"), make_target("r")]
+    assert pick_many(make_picker(estimates), targets, tried=("q",)) == {"r": 300}
+    assert make_picker(estimates).pick(targets, ("q", "r")) is None
+
+
+def test_equal_targets_nearby_are_preferred(make_target):
+    estimates = Estimates()
+    targets = [make_target("near"), make_target("far", data_centre="b")]
+    assert pick_many(make_picker(estimates), targets)["near"] == 300
+
+
+def test_a_target_that_refused_is_avoided_while_there_are_others(make_target):
+    estimates = Estimates()
+    targets = [make_target("p"), make_target("q")]
+    estimates.avoid("p")
+    assert pick_many(make_picker(estimates), targets) == {"q": 300}
+    estimates.avoid("q")
+    assert sum(pick_many(make_picker(estimates), targets).values()) == 300
--- /dev/null
+++ b/packages/gateway/tests/test_sources.py
@@ -0,0 +1,99 @@
+"""Configuration and targets as followed in the store."""
+
+import asyncio
+
+from peridot_gateway.dialect import InvalidObject
+from peridot_gateway.owners import Owners, OwnerTable
+from peridot_gateway.sources import ConfigurationSource, TargetSource
+from peridot_objects.objects import MemoryObjectStore
+from peridot_placement.decisions import MemoryDecisionLog
+from peridot_resources.configuration import Configuration, ServingTarget
+
+
+class PlainDialect:
+    """Read versions and targets from short texts."""
+
+    configuration_kind, configuration_name = "configuration", "main"
+    target_kind = "targets"
+
+    def parse_configuration(self, value):
+        if not value.isdigit():
+            raise InvalidObject("not a number")
+        return Configuration(int(value))
+
+    def parse_target(self, name, value):
+        if value == b"?":
+            raise InvalidObject("unreadable")
+        leaving = value == b"leaving"
+        return ServingTarget(name, "files", "127.0.0.1:1", "a", 3, leaving, 0.0)
+
+
+def follow(kind, write):
+    async def play():
+        store = MemoryObjectStore()
+        log = MemoryDecisionLog()
+        source = kind(store, PlainDialect(), log)
+        task = asyncio.create_task(source.run())
+        await write(store, source)
+        await asyncio.sleep(0.05)
+        task.cancel()
+        return source, log
+
+    return asyncio.run(play())
+
+
+def test_a_configuration_never_reverts():
+    async def write(store, source):
+        for value in (b"5", b"4"):
+            await store.write("configuration", "main", value, None)
+            await asyncio.sleep(0.02)
+
+    source, _ = follow(ConfigurationSource, write)
+    assert source.configuration.version == 5
+
+
+def test_an_invalid_configuration_is_logged_and_left():
+    async def write(store, source):
+        for value in (b"5", b"x"):
+            await store.write("configuration", "main", value, None)
+            await asyncio.sleep(0.02)
+
+    source, log = follow(ConfigurationSource, write)
+    assert source.configuration.version == 5
+    assert any("event=configuration_invalid" in line for line in log.lines)
+
+
+def test_a_target_that_became_unreadable_is_not_used():
+    async def write(store, source):
+        await store.write("targets", "t", b"ready", None)
+        await asyncio.sleep(0.02)
+        await store.write("targets", "t", b"?", None)
+        await asyncio.sleep(0.4)
+
+    source, _ = follow(TargetSource, write)
+    assert source.of_service("files") == []
+
+
+def test_targets_removed_while_the_store_was_away_are_dropped():
+    async def write(store, source):
+        for name in ("t", "u"):
+            await store.write("targets", name, b"ready", None)
+        await asyncio.sleep(0.4)
+        assert len(source.of_service("files")) == 2
+        await store.set_outage(True)
+        await store.set_outage(False)
+        await store.delete("targets", "t", None)
+        await asyncio.sleep(0.8)
+
+    source, _ = follow(TargetSource, write)
+    assert [target.name for target in source.of_service("files")] == ["u"]
+
+
+def test_older_owner_tables_are_refused():
+    owners = Owners()
+    assert owners.take(2, 5, {"files": OwnerTable((0, 100), ("a", "b"))})
+    assert not owners.take(1, 9, {})
+    assert not owners.take(2, 5, {})
+    assert owners.find("files", 99) == "a"
+    assert owners.find("files", 100) == "b"
+    assert owners.find("other", 1) == ""
