Check sole ownership with a model in virtual time, and mend what it found

Change: keys count as moving at once; a release of a target that took no grant of this term is repeated above a higher fence; holds are changed in place and know their fence; the book outlives restarts; the term is checked before each grant.

--- a/packages/fakes/peridot_fakes/holders.py
+++ b/packages/fakes/peridot_fakes/holders.py
@@ -1,6 +1,7 @@
 """Targets that enforce holds, in memory, with faults on demand."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from time import monotonic
 
@@ -71,7 +72,8 @@
 class MemoryHoldControl(HoldControl):
     """Reach targets in memory; records every moment with two holders of a key."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Callable[[], float] = monotonic) -> None:
+        self.clock = clock
         self.holders: dict[str, Holder] = {}
         self.violations: list[str] = []
         self.releases: list[tuple[str, KeyRange]] = []
@@ -91,7 +93,7 @@
         if not holder.reachable:
             await asyncio.sleep(timeout_s)
             return Unreached("unreachable")
-        arrived = monotonic()
+        arrived = self.clock()
         if holder.late_s is not None:
             late = asyncio.create_task(self._take_late(target.name, grant, arrived))
             self.late.add(late)
@@ -124,7 +126,7 @@
 
     def check(self) -> None:
         """Note each key range that two targets hold now."""
-        now = monotonic()
+        now = self.clock()
         live = [
             (name, item.keys)
             for name, holder in self.holders.items()
--- a/packages/ownership/peridot_ownership/holds.py
+++ b/packages/ownership/peridot_ownership/holds.py
@@ -80,24 +80,41 @@
 
 @dataclass(eq=False)
 class Hold:
-    """Bound one grant call's effect."""
+    """Bound one grant call's effect; its parts shrink as keys are taken back."""
 
-    keys: KeyRange
+    parts: list[KeyRange]
+    fence: int
     ends: float
     answered: bool
 
+    def remove(self, keys: KeyRange) -> None:
+        """Take in that some keys are no longer held by this grant."""
+        self.parts = [left for part in self.parts for left in part.minus([keys])]
+
+    def covers(self, keys: KeyRange, now: float) -> bool:
+        """Tell whether some of the keys may be held now (s) or later."""
+        return self.ends > now and any(part.overlaps(keys) for part in self.parts)
+
 
 @dataclass
 class HoldBook:
-    """Hold the latest end of each target's holds, by the granter's clock."""
+    """Hold the latest end of each target's holds, by the granter's clock.
+
+    Several grants of one target may be under way at once, so holds are changed in
+    place and never replaced.
+    """
 
     holds: dict[str, list[Hold]] = field(default_factory=dict)
 
     def begin(self, target: str, grant: Grant, sent: float, timeout_s: float) -> Hold:
         """Note a grant before it is sent: it may arrive until the timeout."""
         ends = sent + timeout_s + longest_hold(grant.hold_s)
-        hold = Hold(grant.keys, ends, answered=False)
-        live = [item for item in self.holds.get(target, ()) if item.ends > sent]
+        hold = Hold([grant.keys], grant.fence, ends, answered=False)
+        live = [
+            item
+            for item in self.holds.get(target, ())
+            if item.ends > sent and item.parts
+        ]
         self.holds[target] = [*live, hold]
         return hold
 
@@ -108,33 +125,20 @@
         if isinstance(outcome, Granted):
             hold.answered = True
             hold.ends = now + longest_hold(grant.hold_s)
+            self._void_unanswered(target, grant)
         elif not isinstance(outcome, Unanswered):
-            self._drop(target, hold)
+            hold.parts = []
 
     def released(self, target: str, keys: KeyRange) -> None:
         """Take in that a target answered a release; unanswered grants may follow."""
-        kept = []
         for hold in self.holds.get(target, ()):
-            if not hold.answered:
-                kept.append(hold)
-                continue
-            kept += [Hold(part, hold.ends, True) for part in hold.keys.minus([keys])]
-        self.holds[target] = kept
-
-    def void_unanswered(self, target: str, keys: KeyRange, latest: Hold) -> None:
-        """Drop older unanswered grants: the target has seen a higher fence."""
-        kept = []
-        for hold in self.holds.get(target, ()):
-            if hold.answered or hold is latest:
-                kept.append(hold)
-                continue
-            kept += [Hold(part, hold.ends, False) for part in hold.keys.minus([keys])]
-        self.holds[target] = kept
+            if hold.answered:
+                hold.remove(keys)
 
     def has_unanswered(self, target: str, keys: KeyRange, now: float) -> bool:
         """Tell whether a grant of some of the keys may still take effect."""
         return any(
-            not hold.answered and hold.ends > now and hold.keys.overlaps(keys)
+            not hold.answered and hold.covers(keys, now)
             for hold in self.holds.get(target, ())
         )
 
@@ -144,15 +148,17 @@
 
     def end_of(self, target: str, keys: KeyRange, now: float) -> float:
         """Return when a target certainly holds none of the keys; now if it doesn't."""
-        live = [hold for hold in self.holds.get(target, ()) if hold.ends > now]
-        if target in self.holds:
-            self.holds[target] = live
-        return max((h.ends for h in live if h.keys.overlaps(keys)), default=now)
-
-    def _drop(self, target: str, hold: Hold) -> None:
-        holds = self.holds.get(target, [])
-        if hold in holds:
-            holds.remove(hold)
+        holds = self.holds.get(target, ())
+        return max((hold.ends for hold in holds if hold.covers(keys, now)), default=now)
+
+    def _void_unanswered(self, target: str, grant: Grant) -> None:
+        """Drop unanswered grants that the target refuses by now.
+
+        One with the same fence, a renewal, may still take effect after a release.
+        """
+        for hold in self.holds.get(target, ()):
+            if not hold.answered and hold.fence < grant.fence:
+                hold.remove(grant.keys)
 
 
 def longest_hold(hold_s: float) -> float:
--- a/packages/ownership/peridot_ownership/placer.py
+++ b/packages/ownership/peridot_ownership/placer.py
@@ -16,6 +16,7 @@
     Outranked,
     Released,
     Replaced,
+    Unreached,
     longest_hold,
 )
 from peridot_ownership.loads import KeyLoads
@@ -185,6 +186,9 @@
         handover: str | None = None,
     ) -> GrantOutcome:
         target = contact.target
+        if not self.recorder.may_act():
+            # The process may have stood still since the caller looked.
+            return Unreached("the term is not confirmed")
         grant = Grant(keys, fence, self._hold_s(), handover)
         sent = boot_time()
         hold = self.book.begin(target.name, grant, sent, GRANT_TIMEOUT_S)
@@ -193,7 +197,6 @@
         self.book.finish(target.name, hold, outcome, grant, now)
         self._note_contact(contact, outcome, now)
         if isinstance(outcome, Granted):
-            self.book.void_unanswered(target.name, keys, hold)
             contact.secure(keys)
         elif isinstance(outcome, Replaced):
             self.book.forget(target.name)
@@ -253,16 +256,17 @@
                     contact.target = target
 
     def _take_new_incarnation(self, contact: Contact) -> None:
-        """Give a restarted target its keys anew, with higher fences."""
+        """Give a restarted target its keys anew, with higher fences.
+
+        The holds in the book stay: it may have taken some of them since its start.
+        """
         target = contact.target
-        self.book.forget(target.name)
-        contact.secure(ALL_KEYS)
         self.log.write("target_restarted", target=target.name, at=target.started_ms)
         table = self.record.tables.get(target.service, RangeTable())
         for item in table.owned_by(target.name):
             for keys in item.keys.minus(self.moving.get(target.service, ())):
                 move = RangeMove(keys, target.name, target.name, "restarted")
-                self._spawn(self._move(target.service, move))
+                self._start_move(target.service, move)
 
     def _plan(self, service: str) -> None:
         capacities = self._capacities(service)
@@ -285,7 +289,7 @@
                 rate=round(plan.profile.load(move.keys), 2),
                 total=round(plan.profile.total, 1),
             )
-            self._spawn(self._move(service, move))
+            self._start_move(service, move)
 
     def _log_balance(self, service: str, plan: PlanInput) -> None:
         now = boot_time()
@@ -330,9 +334,15 @@
 
     # Moving.
 
+    def _start_move(self, service: str, move: RangeMove) -> None:
+        """Begin a move; its keys count as under way from now on."""
+        self.moving.setdefault(service, []).append(move.keys)
+        self._announce()
+        self._spawn(self._move(service, move))
+
     async def _move(self, service: str, move: RangeMove) -> None:
         """Take keys back, store the new owner, then grant them."""
-        with self._mark_moving(service, move.keys):
+        with self._end_moving(service, move.keys):
             await asyncio.sleep(ANNOUNCE_S)
             handover = None
             if move.source is not None and move.source != move.destination:
@@ -345,14 +355,12 @@
         self._merge(service, move.keys)
 
     @contextmanager
-    def _mark_moving(self, service: str, keys: KeyRange) -> Iterator[None]:
-        moving = self.moving.setdefault(service, [])
-        moving.append(keys)
-        self._announce()
+    def _end_moving(self, service: str, keys: KeyRange) -> Iterator[None]:
+        """Count keys as under way until the context ends."""
         try:
             yield
         finally:
-            moving.remove(keys)
+            self.moving[service].remove(keys)
             self._announce()
 
     async def _take_back(self, source: str, keys: KeyRange) -> str | None:
@@ -371,6 +379,8 @@
             )
             if isinstance(outcome, Released):
                 self.book.released(source, keys)
+                if await self._outrank_earlier_terms(contact, keys):
+                    continue
                 await self._wait_until(self.book.end_of(source, keys, boot_time()))
                 return outcome.handover
             self._log_call("release", contact.target, keys, 0, outcome)
@@ -392,6 +402,19 @@
         if late or not contact.is_secured(keys):
             await self._grant(contact, keys, self.record.next_fence())
 
+    async def _outrank_earlier_terms(self, contact: Contact, keys: KeyRange) -> bool:
+        """Void late grants of earlier terms; tell if the keys must be released again.
+
+        A release doesn't void them: only a higher fence does, or their time.
+        """
+        if contact.is_secured(keys):
+            return False
+        outcome = await self._grant(contact, keys, self.record.next_fence())
+        if isinstance(outcome, Granted):
+            return True
+        await self._wait_until(self.earlier_rights_end)
+        return False
+
     def _has_lapsed(self, contact: Contact, keys: KeyRange) -> bool:
         now = boot_time()
         ends = self.book.end_of(contact.target.name, keys, now)
@@ -404,8 +427,6 @@
     ) -> None:
         """Grant keys to their new owner; renewals take over if it doesn't answer."""
         contact = self.contacts[move.destination]
-        if not self.recorder.may_act():
-            return
         for _ in range(2):
             async with contact.lock:
                 outcome = await self._grant(contact, move.keys, fence, handover)
