Let a placer that gives its term up tell its successor what it gave

Change: the last state of a placer that resigns carries its holds; a link that broke while the placer had its store bounds holds to the usual length; long holds are given only after members were told, and only with most of them in touch.

--- a/packages/gateway/peridot_gateway/fleet.py
+++ b/packages/gateway/peridot_gateway/fleet.py
@@ -17,14 +17,25 @@
     ask_member,
     follow_placer,
 )
-from peridot_gateway.messages import parse_tables, serialize_keys, serialize_tables
+from peridot_gateway.messages import (
+    parse_rights,
+    parse_tables,
+    serialize_keys,
+    serialize_rights,
+    serialize_tables,
+)
 from peridot_gateway.owners import Owners
 from peridot_gateway.router import GatewayRouter
 from peridot_objects.objects import ObjectStore
 from peridot_objects.outcomes import Missing, ReadOutcome, StoredObject
 from peridot_ownership.errors import InvalidRecord, TermLost
 from peridot_ownership.holds import HoldControl
-from peridot_ownership.placer import Placer
+from peridot_ownership.placer import (
+    NO_EARLIER_RIGHTS,
+    EarlierRights,
+    Placer,
+    bound_earlier_rights,
+)
 from peridot_ownership.record import (
     RECORD_KIND,
     RECORD_NAME,
@@ -32,7 +43,7 @@
     PlacementRecord,
     parse_record,
 )
-from peridot_ownership.recorder import BEAT_S, Recorder, take_term
+from peridot_ownership.recorder import BEAT_S, CONFIRMED_S, Recorder, take_term
 from peridot_placement.clock import boot_time
 from peridot_placement.decisions import DecisionLog
 from peridot_placement.signals import ChangeSignal
@@ -104,6 +115,13 @@
         self.sighting = Sighting()
         self.leaving = False
         self.gave_up = False
+        # What the last placer told when it gave its term up.
+        self.inherited: EarlierRights | None = None
+        # What this VM left behind as the placer, and when (s).
+        self.left_behind: tuple[EarlierRights, float] | None = None
+        # Whether the placer reached the store when it was last heard.
+        self.placer_has_store = False
+        self.last_end = LinkEnd.SILENT
         self.changed = ChangeSignal()
         self.server = FleetServer(
             self._take_report,
@@ -195,9 +213,16 @@
         self.followed = holder
         end = await follow_placer(holder.address, self.build_report, self._take_state)
         self.parts.log.write("placer_lost", placer=holder.vm, reason=end)
+        self.last_end = end
         return end
 
     def _take_state(self, state: pb.FleetState) -> None:
+        if not state.leading:
+            if state.resigned:
+                self.inherited = parse_rights(state, boot_time())
+            return
+        self.inherited = None
+        self.placer_has_store = state.store_reachable
         if not self.hears_placer():
             self.parts.log.write("placer_heard", term=state.term)
         self.heard_at = monotonic()
@@ -261,8 +286,15 @@
         self.gave_up = False
         parts.log.write("term_taken", term=recorder.record.term)
         placer = Placer(
-            recorder, parts.control, parts.load, parts.log, parts.hold_max_s
+            recorder,
+            parts.control,
+            parts.load,
+            parts.log,
+            parts.hold_max_s,
+            self._earlier_rights(recorder),
+            self._has_most_members,
         )
+        self.left_behind = None
         self.members.clear()
         async with AsyncExitStack() as stack:
             writing = asyncio.create_task(recorder.run())
@@ -276,6 +308,34 @@
                 self.changed.notify()
         parts.log.write("term_ended", term=recorder.record.term)
 
+    def _earlier_rights(self, recorder: Recorder) -> EarlierRights:
+        """Return what may be left of earlier terms, as far as this VM can tell."""
+        if recorder.record.term == 1:
+            return NO_EARLIER_RIGHTS
+        inherited, self.inherited = self.inherited, None
+        if inherited is not None:
+            rights, how = inherited, "inherited"
+        elif self.last_end is LinkEnd.BROKEN and self.placer_has_store:
+            # It was heard until its link broke and had given no long hold.
+            rights = bound_earlier_rights(CONFIRMED_S, False, self.parts.hold_max_s)
+            how = "broken"
+        else:
+            rights = bound_earlier_rights(CONFIRMED_S, True, self.parts.hold_max_s)
+            how = "unknown"
+        self.parts.log.write(
+            "earlier_rights",
+            term=recorder.record.term,
+            how=how,
+            unknown_left=round(rights.unknown_left_s, 2),
+            late_left=round(rights.late_left_s, 2),
+            holds=len(rights.holds),
+        )
+        return rights
+
+    def _has_most_members(self) -> bool:
+        """Tell whether the fleet, rather than this VM alone, has lost the store."""
+        return 2 * len(self.members) >= self.most_vms - 1
+
     async def _serve_term(self, placer: Placer) -> None:
         """Act as the placer until the term ends or is given up."""
         next_report = 0.0
@@ -283,6 +343,7 @@
             if self._should_resign(placer.recorder):
                 self.gave_up = True
                 placer.recorder.fail(TermLost("given up"))
+                self.left_behind = placer.leave_rights(), boot_time()
                 return
             changed = placer.changed.next
             if monotonic() >= next_report:
@@ -370,8 +431,7 @@
     def _describe_state(self, vm: str, sent: int) -> pb.FleetState:
         placer = self.placer
         if placer is None:
-            followed = self.followed.address if self.followed else ""
-            return pb.FleetState(leading=False, placer_address=followed)
+            return self._describe_resigned()
         state = pb.FleetState(
             term=placer.record.term,
             sequence=placer.sequence,
@@ -390,6 +450,14 @@
             state.tables.extend(serialize_tables(placer.settled_tables()))
         return state
 
+    def _describe_resigned(self) -> pb.FleetState:
+        if self.left_behind is None:
+            followed = self.followed.address if self.followed else ""
+            return pb.FleetState(leading=False, placer_address=followed)
+        rights, left_at = self.left_behind
+        # The receiver counts what is left from now on, which is later: safe.
+        return serialize_rights(rights, left_at)
+
     async def _wait_for_change(self, limit_s: float) -> None:
         placer = self.placer
         if placer is not None:
--- a/packages/gateway/peridot_gateway/links.py
+++ b/packages/gateway/peridot_gateway/links.py
@@ -36,6 +36,7 @@
 class LinkEnd(StrEnum):
     """Name why a link to a placer ended."""
 
+    BROKEN = "broken"
     REFUSED = "refused"
     RESIGNED = "resigned"
     SILENT = "silent"
@@ -123,8 +124,10 @@
         return await _follow(channel, build_report, take_state)
     except ConnectionRefusedError:
         return LinkEnd.REFUSED
-    except LINK_ERRORS:
+    except TimeoutError:
         return LinkEnd.SILENT
+    except LINK_ERRORS:
+        return LinkEnd.BROKEN
     finally:
         channel.close()
 
@@ -142,9 +145,11 @@
             while True:
                 async with asyncio.timeout(SILENT_S):
                     state = await stream.recv_message()
-                if state is None or not state.leading:
-                    return LinkEnd.RESIGNED
+                if state is None:
+                    return LinkEnd.BROKEN
                 take_state(state)
+                if not state.leading:
+                    return LinkEnd.RESIGNED
         finally:
             reporting.cancel()
             with suppress(asyncio.CancelledError, *LINK_ERRORS):
--- a/packages/gateway/peridot_gateway/messages.py
+++ b/packages/gateway/peridot_gateway/messages.py
@@ -2,8 +2,12 @@
 
 from collections import Counter
 from collections.abc import Mapping
+from math import ceil
 
 from peridot_gateway.owners import OwnerTable
+from peridot_ownership.holds import Hold
+from peridot_ownership.placer import EarlierRights
+from peridot_ownership.ranges import KeyRange
 from peridot_wire import peridot_pb2 as pb
 
 
@@ -29,6 +33,46 @@
     }
 
 
+def serialize_rights(rights: EarlierRights, now: float) -> pb.FleetState:
+    """Return the last state of a placer that gave its term up at a time (s)."""
+    return pb.FleetState(
+        leading=False,
+        resigned=True,
+        earlier_left_ms=ceil(rights.unknown_left_s * 1000),
+        late_left_ms=ceil(rights.late_left_s * 1000),
+        holds=[
+            pb.HoldLeft(
+                target=target,
+                start=part.start,
+                end=part.end,
+                left_ms=max(0, ceil((hold.ends - now) * 1000)),
+                answered=hold.answered,
+            )
+            for target, hold in rights.holds
+            for part in hold.parts
+        ],
+    )
+
+
+def parse_rights(state: pb.FleetState, now: float) -> EarlierRights:
+    """Return what a placer left behind, by the receiver's clock (s)."""
+    return EarlierRights(
+        state.earlier_left_ms / 1000,
+        state.late_left_ms / 1000,
+        tuple(
+            (
+                item.target,
+                Hold(
+                    [KeyRange(item.start, item.end)],
+                    now + item.left_ms / 1000,
+                    item.answered,
+                ),
+            )
+            for item in state.holds
+        ),
+    )
+
+
 def serialize_keys(counts: Mapping[str, Counter[int]]) -> list[pb.KeyCounts]:
     """Return the messages of requests by key."""
     return [
--- a/packages/ownership/peridot_ownership/holds.py
+++ b/packages/ownership/peridot_ownership/holds.py
@@ -145,6 +145,19 @@
             default=0.0,
         )
 
+    def live(self, now: float) -> list[tuple[str, Hold]]:
+        """Return all holds that may not have ended, with their targets."""
+        return [
+            (target, hold)
+            for target, holds in self.holds.items()
+            for hold in holds
+            if hold.ends > now and hold.parts
+        ]
+
+    def add(self, target: str, hold: Hold) -> None:
+        """Take over a hold that an earlier placer gave."""
+        self.holds.setdefault(target, []).append(hold)
+
     def forget(self, target: str) -> None:
         """Drop all holds of a target that is certainly gone."""
         self.holds.pop(target, None)
--- a/packages/ownership/peridot_ownership/placer.py
+++ b/packages/ownership/peridot_ownership/placer.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
-from collections.abc import AsyncIterator, Coroutine, Iterator
+from collections.abc import AsyncIterator, Callable, Coroutine, Iterator
 from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass, field
 
@@ -11,6 +11,7 @@
     Grant,
     Granted,
     GrantOutcome,
+    Hold,
     HoldBook,
     HoldControl,
     Outranked,
@@ -23,12 +24,14 @@
 from peridot_ownership.planner import PlanInput, RangeMove, measure_balance, plan_moves
 from peridot_ownership.ranges import ALL_KEYS, KeyRange, OwnedRange, RangeTable
 from peridot_ownership.record import PlacementRecord
-from peridot_ownership.recorder import CONFIRMED_S, Recorder
+from peridot_ownership.recorder import Recorder
 from peridot_placement.clock import boot_time
 from peridot_placement.decisions import DecisionLog
 from peridot_placement.signals import ChangeSignal
 from peridot_resources.configuration import ServingTarget
 
+# Two states reach the members before the first long hold is given.
+LONG_HOLD_DELAY_S = 0.6
 # Long enough to outlast a change of the placer, short enough that a dead target's
 # keys are served again soon.
 HOLD_S = 2.5
@@ -55,6 +58,31 @@
 COLD_FACTOR = 2.0
 
 
+@dataclass(frozen=True)
+class EarlierRights:
+    """Bound what the placers of earlier terms may have given."""
+
+    # Time (s) until rights that this placer doesn't know of have ended ...
+    unknown_left_s: float
+    # ... and until grants without an answer can't take effect any more.
+    late_left_s: float
+    # Holds that the last placer told of.
+    holds: tuple[tuple[str, Hold], ...] = ()
+
+
+NO_EARLIER_RIGHTS = EarlierRights(0.0, 0.0)
+
+
+def bound_earlier_rights(
+    giving_s: float, long_holds: bool, hold_max_s: float
+) -> EarlierRights:
+    """Return the bound if the last placer may go on giving for a time (s)."""
+    sending_s = giving_s + GRANT_TIMEOUT_S
+    late_s = sending_s + longest_hold(HOLD_S)
+    hold_s = hold_max_s if long_holds else HOLD_S
+    return EarlierRights(sending_s + longest_hold(hold_s), late_s)
+
+
 class FleetView(ABC):
     """Tell the placer what exists and how busy it is."""
 
@@ -108,12 +136,15 @@
         view: FleetView,
         log: DecisionLog,
         hold_max_s: float,
+        earlier: EarlierRights,
+        may_hold_long: Callable[[], bool],
     ) -> None:
         self.recorder = recorder
         self.control = control
         self.view = view
         self.log = log
         self.hold_max_s = hold_max_s
+        self.may_hold_long = may_hold_long
         self.book = HoldBook()
         self.contacts: dict[str, Contact] = {}
         self.moving: dict[str, list[KeyRange]] = {}
@@ -122,19 +153,13 @@
         self.sequence = 1
         self.moves = 0
         self.balance_logged: dict[str, float] = {}
-        # Nor does a grant of an earlier term that got no answer, at a target that took
-        # one of this term: these are of the usual length.
-        self.late_grants_end = (
-            boot_time() + CONFIRMED_S + GRANT_TIMEOUT_S + longest_hold(HOLD_S)
-            if self.record.term > 1
-            else 0.0
-        )
-        # No right given under an earlier term outlasts this.
-        self.earlier_rights_end = (
-            boot_time() + CONFIRMED_S + longest_hold(hold_max_s)
-            if self.record.term > 1
-            else 0.0
-        )
+        now = boot_time()
+        # No right given under an earlier term outlasts this ...
+        self.earlier_rights_end = now + earlier.unknown_left_s
+        # ... nor, at a target that took a grant of this term, one without an answer.
+        self.late_grants_end = now + earlier.late_left_s
+        for target, hold in earlier.holds:
+            self.book.add(target, hold)
 
     @property
     def record(self) -> PlacementRecord:
@@ -229,9 +254,22 @@
     def _hold_s(self) -> float:
         """Return the length of a hold: the longest while the store is away.
 
-        No other daemon can then take the term, and nothing can be moved.
+        No other daemon can then take the term, and nothing can be moved. Members
+        learn of the loss first, so that a successor knows of the long holds.
         """
-        return self.hold_max_s if self.recorder.store_lost else HOLD_S
+        recorder = self.recorder
+        lost_s = boot_time() - recorder.store_lost_at
+        long = recorder.store_lost and lost_s > LONG_HOLD_DELAY_S
+        return self.hold_max_s if long and self.may_hold_long() else HOLD_S
+
+    def leave_rights(self) -> EarlierRights:
+        """Return what a successor has to know; no right is given after this."""
+        now = boot_time()
+        return EarlierRights(
+            max(0.0, self.earlier_rights_end - now),
+            max(0.0, self.late_grants_end - now),
+            tuple(self.book.live(now)),
+        )
 
     def _note_contact(
         self, contact: Contact, outcome: GrantOutcome, now: float
--- a/packages/ownership/tests/test_ownership_model.py
+++ b/packages/ownership/tests/test_ownership_model.py
@@ -19,7 +19,13 @@
 from peridot_ownership import placer as placer_module, recorder as recorder_module
 from peridot_ownership.holds import Grant, HoldControl, Unreached
 from peridot_ownership.loads import KeyLoads
-from peridot_ownership.placer import FleetView, Placer
+from peridot_ownership.placer import (
+    NO_EARLIER_RIGHTS,
+    EarlierRights,
+    FleetView,
+    Placer,
+    bound_earlier_rights,
+)
 from peridot_ownership.ranges import KEY_SPACE, KeyRange
 from peridot_ownership.record import RECORD_KIND, RECORD_NAME, Holder
 from peridot_ownership.recorder import take_term
@@ -34,6 +40,12 @@
 SETTLE_S = 40.0
 
 
+def earlier_rights(recorder) -> EarlierRights:
+    if recorder.record.term == 1:
+        return NO_EARLIER_RIGHTS
+    return bound_earlier_rights(recorder_module.CONFIRMED_S, True, HOLD_MAX_S)
+
+
 class ReachableStore(ObjectStore):
     """Reach a shared store unless this placer is cut off from it."""
 
@@ -170,7 +182,15 @@
         recorder = await take_term(store, holder, found, self.log)
         if recorder is None:
             return
-        placer = Placer(recorder, control, self.view, self.log, HOLD_MAX_S)
+        placer = Placer(
+            recorder,
+            control,
+            self.view,
+            self.log,
+            HOLD_MAX_S,
+            earlier_rights(recorder),
+            lambda: True,
+        )
         stack = AsyncExitStack()
         writing = asyncio.create_task(recorder.run())
         stack.callback(writing.cancel)
--- a/packages/ownership/tests/test_placer.py
+++ b/packages/ownership/tests/test_placer.py
@@ -9,8 +9,15 @@
 from peridot_fakes.holders import MemoryHoldControl
 from peridot_objects.objects import MemoryObjectStore
 from peridot_ownership import placer as placer_module, recorder as recorder_module
+from peridot_ownership.errors import TermLost
 from peridot_ownership.loads import KeyLoads
-from peridot_ownership.placer import FleetView, Placer
+from peridot_ownership.placer import (
+    NO_EARLIER_RIGHTS,
+    EarlierRights,
+    FleetView,
+    Placer,
+    bound_earlier_rights,
+)
 from peridot_ownership.ranges import ALL_KEYS, KeyRange, RangeTable
 from peridot_ownership.record import (
     RECORD_KIND,
@@ -39,7 +46,7 @@
         "PLAN_PERIOD_S": 0.02,
         "FAILING_S": 0.05,
         "ANNOUNCE_S": 0.001,
-        "CONFIRMED_S": 0.3,
+        "LONG_HOLD_DELAY_S": 0.03,
     }
     for name, value in times.items():
         monkeypatch.setattr(placer_module, name, value)
@@ -48,6 +55,12 @@
     monkeypatch.setattr(recorder_module, "RETRY_PAUSE_S", 0.02)
 
 
+def earlier_rights(recorder) -> EarlierRights:
+    if recorder.record.term == 1:
+        return NO_EARLIER_RIGHTS
+    return bound_earlier_rights(recorder_module.CONFIRMED_S, True, HOLD_MAX_S)
+
+
 class FixedView(FleetView):
     """Show a fixed set of targets."""
 
@@ -87,12 +100,20 @@
         self.log = MemoryDecisionLog()
 
     @asynccontextmanager
-    async def lead(self, vm: str):
+    async def lead(self, vm: str, earlier: EarlierRights | None = None):
         found = await self.store.read(RECORD_KIND, RECORD_NAME)
         holder = TermHolder(vm, f"{vm}-1", "127.0.0.1:1")
         recorder = await take_term(self.store, holder, found, self.log)
         assert recorder is not None
-        placer = Placer(recorder, self.control, self.view, self.log, HOLD_MAX_S)
+        placer = Placer(
+            recorder,
+            self.control,
+            self.view,
+            self.log,
+            HOLD_MAX_S,
+            earlier or earlier_rights(recorder),
+            lambda: True,
+        )
         writing = asyncio.create_task(recorder.run())
         try:
             async with placer.run():
@@ -348,3 +369,23 @@
             assert not scene.control.holder("a").holds(55_000, 0.0)
 
     run(play())
+
+
+def test_what_a_resigned_placer_told_bounds_the_wait_of_the_next():
+    """Keys of a target that fell silent at the same time wait for its hold only."""
+
+    async def play():
+        scene = Scene("a b")
+        async with scene.lead("vm1") as first:
+            await settle(first, lambda: scene.owners(first) == {"a", "b"})
+            scene.control.holder("a").reachable = False
+            first.recorder.fail(TermLost("given up"))
+            rights = first.leave_rights()
+        assert rights.unknown_left_s == 0.0
+        assert any(target == "a" for target, _ in rights.holds)
+        async with scene.lead("vm2", rights) as second:
+            limit_s = HOLD_S * 4
+            await settle(second, lambda: scene.owners(second) == {"b"}, limit_s)
+        assert not scene.control.violations
+
+    run(play())
