--- a/packages/fakes/peridot_fakes/objectapi.py
+++ b/packages/fakes/peridot_fakes/objectapi.py
@@ -23,6 +23,8 @@
     changed: asyncio.Condition = field(default_factory=asyncio.Condition)
     # Answer all calls with this status, if it is set.
     refuse_status: int | None = None
+    # Refuse calls that come to these ports.
+    refused_ports: set[int] = field(default_factory=set)
     # Carry out so many writes without answering them.
     lose_answers: int = 0
     calls: int = 0
@@ -78,7 +80,7 @@
             self.changed.notify_all()
 
     async def _list(self, request: web.Request) -> web.Response:
-        if (refusal := self._refusal()) is not None:
+        if (refusal := self._refusal(request)) is not None:
             return refusal
         kind = request.match_info["kind"]
         if "watch" in request.query:
@@ -113,13 +115,13 @@
         return _json({"events": events(), "at": self.revision})
 
     async def _read(self, request: web.Request) -> web.Response:
-        if (refusal := self._refusal()) is not None:
+        if (refusal := self._refusal(request)) is not None:
             return refusal
         item = self.objects.get(_key(request))
         return _json(item) if item else web.Response(status=404)
 
     async def _create(self, request: web.Request) -> web.Response:
-        if (refusal := self._refusal()) is not None:
+        if (refusal := self._refusal(request)) is not None:
             return refusal
         body = orjson.loads(await request.read())
         kind, name = request.match_info["kind"], body["metadata"]["name"]
@@ -128,7 +130,7 @@
         return await self._store(kind, name, body["spec"])
 
     async def _replace(self, request: web.Request) -> web.Response:
-        if (refusal := self._refusal()) is not None:
+        if (refusal := self._refusal(request)) is not None:
             return refusal
         body = orjson.loads(await request.read())
         kind, name = _key(request)
@@ -143,7 +145,7 @@
         return await self._store(kind, name, body["spec"])
 
     async def _delete(self, request: web.Request) -> web.Response:
-        if (refusal := self._refusal()) is not None:
+        if (refusal := self._refusal(request)) is not None:
             return refusal
         kind, name = _key(request)
         found = self.objects.get((kind, name))
@@ -159,8 +161,10 @@
             await asyncio.sleep(30)
         return _json(self.objects[kind, name])
 
-    def _refusal(self) -> web.Response | None:
+    def _refusal(self, request: web.Request) -> web.Response | None:
         self.calls += 1
+        if request.transport.get_extra_info("sockname")[1] in self.refused_ports:
+            return web.Response(status=503)
         if self.refuse_status is None:
             return None
         return web.Response(status=self.refuse_status)
--- a/packages/fakes/peridot_fakes/site.py
+++ b/packages/fakes/peridot_fakes/site.py
@@ -4,7 +4,7 @@
 import os
 import signal
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 from uuid import uuid4
@@ -72,9 +72,11 @@
 class Gateways:
     """Hold gateway processes by name."""
 
-    def __init__(self, folder: Path, store_port: int) -> None:
+    def __init__(self, folder: Path, open_store: Callable[[], Awaitable[int]]) -> None:
         self.folder = folder
-        self.store_port = store_port
+        # Returns a port of the store for one gateway.
+        self.open_store = open_store
+        self.store_ports: dict[str, int] = {}
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.settings: dict[str, dict] = {}
 
@@ -89,6 +91,7 @@
     async def start(self, name: str) -> None:
         """Start a gateway and return when it says that it is ready."""
         if name not in self.settings:
+            self.store_ports[name] = await self.open_store()
             self.settings[name] = self._make_settings(name)
         path = self.folder / f"{name}.json"
         path.write_bytes(orjson.dumps(self.settings[name]))
@@ -127,7 +130,7 @@
             },
             "internalPortRange": [free_ports(1)[0], free_ports(1)[0]],
             "bounds": list(BOUNDS),
-            "platform": {"address": f"127.0.0.1:{self.store_port}"},
+            "platform": {"address": f"127.0.0.1:{self.store_ports[name]}"},
         }
 
     async def _wait_until_ready(self, name: str) -> None:
@@ -148,11 +151,16 @@
 
     def __init__(self, folder: Path) -> None:
         self.api = ObjectApi()
-        self.store_port = free_ports(1)[0]
-        self.gateways = Gateways(folder, self.store_port)
+        self.gateways = Gateways(folder, self.open_store)
         self.servers: dict[str, HoldServer] = {}
         self.stack = AsyncExitStack()
 
+    async def open_store(self) -> int:
+        """Serve the store on one more port and return it."""
+        port = free_ports(1)[0]
+        await self.stack.enter_async_context(self.api.serve(port))
+        return port
+
     async def add_server(self, name: str, service: str, **options) -> HoldServer:
         """Start a server and let it announce itself."""
         server = HoldServer(
@@ -200,7 +208,6 @@
     """Run a store with a configuration while the context lasts."""
     site = Site(folder)
     async with site.stack:
-        await site.stack.enter_async_context(site.api.serve(site.store_port))
         site.session = await site.stack.enter_async_context(ClientSession())
         routes = [FILES_ROUTE, ORDERS_ROUTE]
         await site.api.put("config", "main", make_configuration(1, routes))
--- a/packages/fakes/tests/test_site.py
+++ b/packages/fakes/tests/test_site.py
@@ -261,3 +261,22 @@
         assert (await site.send("vm-1", "GET", "/files/x"))[0] == 200
 
     play(tmp_path, scene)
+
+
+def test_a_gateway_without_the_store_learns_of_the_next_placer(tmp_path):
+    """Only its store was away: it went on with the owners of the last placer."""
+
+    async def scene(site):
+        await start(site, "vm-1 vm-2 vm-3")
+        leader = site.api.objects["placements", "current"]["spec"]["vm"]
+        cut, other = (name for name in ("vm-1", "vm-2", "vm-3") if name != leader)
+        site.api.refused_ports.add(site.gateways.store_ports[cut])
+        await asyncio.sleep(0.5)
+        await site.gateways.end(leader, signal.SIGTERM)
+        await asyncio.sleep(1.0)
+        record = site.api.objects["placements", "current"]["spec"]
+        assert record["vm"] == other
+        await asyncio.sleep(3.0)
+        assert f"event=placer_heard term={record['term']}" in site.gateways.log(cut)
+
+    play(tmp_path, scene)
--- a/packages/gateway/peridot_gateway/fleet.py
+++ b/packages/gateway/peridot_gateway/fleet.py
@@ -111,6 +111,7 @@
         self.peers_at = float("-inf")
         self.most_vms = 0
         self.heard_at = float("-inf")
+        self.heard_term = 0
         self.followed: Holder | None = None
         self.sighting = Sighting()
         self.leaving = False
@@ -153,9 +154,9 @@
             await self._take_term(found)
             return
         if not isinstance(found, StoredObject):
-            # Without the store, the last known placer may still be there.
-            if self.followed is not None:
-                await self._follow(self.followed)
+            placer = await self._ask_for_placer() or self.followed
+            if placer is not None:
+                await self._follow(placer)
             await asyncio.sleep(RETRY_S)
             return
         if found.version != self.sighting.version:
@@ -200,6 +201,18 @@
             return
         await self._take_term(found)
 
+    async def _ask_for_placer(self) -> Holder | None:
+        """Return the placer that other VMs hear, where the store doesn't tell."""
+        others = [peer for peer in self.peers if peer != self.me]
+        answers = await asyncio.gather(
+            *(ask_member(peer.address, self.me.instance) for peer in others)
+        )
+        heard = [item for item in answers if item is not None and item.hears_placer]
+        newest = max(heard, key=lambda item: item.term, default=None)
+        if newest is None or newest.placer_address == self.me.address:
+            return None
+        return Holder("unknown", "", newest.placer_address)
+
     def _take_stored_owners(self, record: PlacementRecord) -> None:
         """Route by the stored owners until the placer sends newer ones."""
         tables = {
@@ -223,8 +236,9 @@
             return
         self.inherited = None
         self.placer_has_store = state.store_reachable
-        if not self.hears_placer():
+        if not self.hears_placer() or state.term != self.heard_term:
             self.parts.log.write("placer_heard", term=state.term)
+        self.heard_term = state.term
         self.heard_at = monotonic()
         if state.sequence > 0 and state.tables:
             tables = parse_tables(state.tables)
@@ -468,4 +482,10 @@
             instance=self.me.instance,
             hears_placer=self.hears_placer(),
             term=self.parts.owners.term,
+            placer_address=self._placer_address(),
         )
+
+    def _placer_address(self) -> str:
+        if self.placer is not None:
+            return self.me.address
+        return self.followed.address if self.followed else ""
--- a/packages/gateway/peridot_gateway/owners.py
+++ b/packages/gateway/peridot_gateway/owners.py
@@ -1,7 +1,9 @@
 """Owners: this VM's view of who owns which keys."""
 
 from bisect import bisect_right
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from time import monotonic
 
 from peridot_placement.signals import ChangeSignal
 
@@ -26,11 +28,21 @@
     sequence: int = 0
     tables: dict[str, OwnerTable] = field(default_factory=dict)
     changed: ChangeSignal = field(default_factory=ChangeSignal)
+    clock: Callable[[], float] = monotonic
+    # Since when (s) ranges have had no owner, by service and start.
+    unowned: dict[tuple[str, int], float] = field(default_factory=dict)
 
     def take(self, term: int, sequence: int, tables: dict[str, OwnerTable]) -> bool:
         """Take in tables unless newer ones are known; tell if they were taken."""
         if (term, sequence) <= (self.term, self.sequence):
             return False
+        now = self.clock()
+        self.unowned = {
+            (service, start): self._unowned_since(service, start, now)
+            for service, table in tables.items()
+            for start, owner in zip(table.starts, table.owners, strict=True)
+            if not owner
+        }
         self.term, self.sequence, self.tables = term, sequence, tables
         self.changed.notify()
         return True
@@ -39,3 +51,19 @@
         """Return the owner of a key, or an empty string."""
         table = self.tables.get(service)
         return table.find(key) if table is not None else ""
+
+    def unowned_s(self, service: str, key: int) -> float:
+        """Return for how long a key has had no owner (s); 0 if it has one."""
+        table = self.tables.get(service)
+        if table is None or table.find(key):
+            return 0.0
+        start = table.starts[bisect_right(table.starts, key) - 1]
+        return self.clock() - self.unowned.get((service, start), self.clock())
+
+    def _unowned_since(self, service: str, start: int, now: float) -> float:
+        """Return since when the keys at a start have had no owner."""
+        table = self.tables.get(service)
+        if table is None or table.find(start):
+            return now
+        before = table.starts[bisect_right(table.starts, start) - 1]
+        return self.unowned.get((service, before), now)
--- a/packages/gateway/peridot_gateway/router.py
+++ b/packages/gateway/peridot_gateway/router.py
@@ -20,7 +20,8 @@
 from peridot_routing.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from peridot_routing.router import describe
 
-# Keys that move are granted anew within the time of the work that runs on them.
+# Keys that move are granted anew within the time of the work that runs on them; those
+# without an owner for longer wait for a hold to run out, which takes seconds.
 OWNER_WAIT_S = 0.6
 # Share of the time left that a request may wait for an owner.
 OWNER_WAIT_SHARE = 0.5
@@ -128,7 +129,8 @@
         if request.key is None:
             return NotRun(Reason.MISSING_KEY)
         owners = self.parts.owners
-        wait_s = min(OWNER_WAIT_S, OWNER_WAIT_SHARE * request.left_s())
+        unowned_s = owners.unowned_s(request.service.name, request.key)
+        wait_s = min(OWNER_WAIT_S - unowned_s, OWNER_WAIT_SHARE * request.left_s())
         ends = asyncio.get_running_loop().time() + wait_s
         while True:
             changed = owners.changed.next
--- a/packages/gateway/peridot_gateway/sender.py
+++ b/packages/gateway/peridot_gateway/sender.py
@@ -34,6 +34,8 @@
 KEPT_IDLE_S = 3.0
 # An answer that is due exactly at the deadline still gets back to the caller.
 DEADLINE_MARGIN_S = 0.015
+# Owners and targets agree again within the time that a change of them takes.
+MISDIRECTED_RETRY_MS = 400
 # Targets are told a little less than what is left.
 TRANSFER_S = 0.005
 
@@ -222,7 +224,7 @@
         if body is None:
             return Attempt(Unknown(Reason.TORN_ANSWER, "broken off"))
         if facts.misdirected:
-            return Attempt(NotRun(Reason.NOT_OWNER), facts)
+            return Attempt(NotRun(Reason.NOT_OWNER, MISDIRECTED_RETRY_MS), facts)
         if facts.not_run:
             wait_ms = int((facts.retry_after_s or 0.0) * 1000)
             return Attempt(
--- a/packages/gateway/tests/test_router.py
+++ b/packages/gateway/tests/test_router.py
@@ -189,3 +189,21 @@
     asyncio.run(router.handle(make_request(key=5)))
     assert router.take_key_counts() == {"files": {5: 1}}
     assert router.take_key_counts() == {}
+
+
+def test_keys_long_without_an_owner_are_refused_at_once(route_with, make_request):
+    """Answers the pattern of a dead owner: its hold runs out for seconds."""
+
+    async def play():
+        owners = owned_by("")
+        now = monotonic()
+        owners.clock = lambda: now + 2.0
+        owners.unowned = {("files", 0): now}
+        router, _ = route_with([OK], owners=owners)
+        began = monotonic()
+        outcome = await router.handle(make_request(key=5))
+        assert isinstance(outcome, NotRun)
+        assert outcome.retry_after_ms > 0
+        assert monotonic() - began < 0.1
+
+    asyncio.run(play())
--- a/packages/gateway/tests/test_sources.py
+++ b/packages/gateway/tests/test_sources.py
@@ -97,3 +97,16 @@
     assert owners.find("files", 99) == "a"
     assert owners.find("files", 100) == "b"
     assert owners.find("other", 1) == ""
+
+
+def test_the_time_without_an_owner_goes_on_over_new_tables():
+    now = 10.0
+    owners = Owners(clock=lambda: now)
+    owners.take(1, 1, {"files": OwnerTable((0, 100), ("a", ""))})
+    now = 12.0
+    owners.take(1, 2, {"files": OwnerTable((0, 100, 150), ("a", "", ""))})
+    assert owners.unowned_s("files", 160) == 2.0
+    assert owners.unowned_s("files", 50) == 0.0
+    owners.take(1, 3, {"files": OwnerTable((0, 100), ("a", "b"))})
+    owners.take(1, 4, {"files": OwnerTable((0, 100), ("a", ""))})
+    assert owners.unowned_s("files", 160) == 0.0
