--- a/packages/daemon/peridot_daemon/logs.py
+++ b/packages/daemon/peridot_daemon/logs.py
@@ -1,6 +1,7 @@
 """Logs: one line of key=value pairs for each event, on standard output."""
 
 import asyncio
+import os
 import random
 import sys
 from collections.abc import Iterator
@@ -14,6 +15,8 @@
 # Lines are written together once there are so many, or after the flush period.
 BUFFERED_LINES = 100
 FLUSH_PERIOD_S = 0.05
+# Lines that come while so much waits for a reader are dropped.
+MAX_PENDING_BYTES = 262_144
 
 
 class LogbookDecisionLog(DecisionLog):
@@ -31,12 +34,14 @@
 
 
 class BufferedLineHandler(Handler):
-    """Write lines to a stream a batch at a time."""
+    """Write lines to a stream a batch at a time, never waiting for its reader."""
 
     def __init__(self, stream: TextIO, level: int) -> None:
         super().__init__(level)
-        self.stream = stream
+        self.descriptor = stream.fileno()
+        os.set_blocking(self.descriptor, False)
         self.lines: list[str] = []
+        self.pending = b""
 
     def emit(self, record: LogRecord) -> None:
         """Take one line."""
@@ -48,11 +53,16 @@
             self.flush()
 
     def flush(self) -> None:
-        """Write what has gathered."""
+        """Write what has gathered, as far as the reader takes it."""
         lines, self.lines = self.lines, []
-        if lines:
-            self.stream.write("".join(lines))
-            self.stream.flush()
+        if len(self.pending) < MAX_PENDING_BYTES:
+            self.pending += "".join(lines).encode()
+        try:
+            while self.pending:
+                written = os.write(self.descriptor, self.pending)
+                self.pending = self.pending[written:]
+        except BlockingIOError:
+            return
 
     async def flush_periodically(self) -> None:
         """Write what has gathered, again and again, until cancelled."""
--- /dev/null
+++ b/packages/daemon/tests/test_logs.py
@@ -0,0 +1,19 @@
+"""Log lines never hold up the process."""
+
+import os
+
+from logbook import INFO, LogRecord
+
+from peridot_daemon.logs import MAX_PENDING_BYTES, BufferedLineHandler
+
+
+def test_a_reader_that_stands_still_holds_nobody_up():
+    reader, writer = os.pipe()
+    with os.fdopen(writer, "w") as stream, os.fdopen(reader, "rb"):
+        handler = BufferedLineHandler(stream, 0)
+        for number in range(20_000):
+            record = LogRecord("vm", INFO, f"event=request number={number:020}")
+            record.heavy_init()
+            handler.emit(record)
+        handler.flush()
+        assert 0 < len(handler.pending) < 2 * MAX_PENDING_BYTES
