Close idle connections when a VM stops, and be ready only with the owners known

Ruled out: the grace time (no work took longer), load alone (the log shows the refusal). Change: idle connections close once the listener has closed; readiness waits for owners.

--- a/packages/fakes/tests/test_site.py
+++ b/packages/fakes/tests/test_site.py
@@ -4,6 +4,7 @@
 import signal
 
 import pytest
+from aiohttp import ClientError, ClientSession
 
 from peridot_fakes.site import (
     FILES_ROUTE,
@@ -280,3 +281,47 @@
         assert f"event=placer_heard term={record['term']}" in site.gateways.log(cut)
 
     play(tmp_path, scene)
+
+
+def test_a_gateway_that_says_ready_knows_the_owners(tmp_path):
+    """Its first requests were refused: it was ready before it had joined."""
+
+    async def scene(site):
+        await start(site, "vm-1")
+        for number in range(2, 6):
+            name = f"vm-{number}"
+            await site.gateways.start(name)
+            for key in (0, 65_535):
+                assert (await site.send(name, "GET", "/files/x", key))[0] == 200
+
+    play(tmp_path, scene)
+
+
+def test_kept_connections_get_answers_or_close_during_a_stop(tmp_path):
+    """Idle ones stayed open until the end, and requests on them were cut."""
+
+    async def scene(site):
+        await start(site, "vm-1")
+        for server in site.servers.values():
+            server.work_s = 0.2
+        outcomes = []
+
+        async def use_connection():
+            while True:
+                try:
+                    outcomes.append((await site.send("vm-1", "GET", "/files/x"))[0])
+                except (ClientError, OSError) as error:
+                    outcomes.append(type(error).__name__)
+                    return
+                await asyncio.sleep(0.3)
+
+        async with ClientSession() as site.session:
+            users = [asyncio.create_task(use_connection()) for _ in range(3)]
+            await asyncio.sleep(0.5)
+            assert await site.gateways.end("vm-1", signal.SIGTERM) == 0
+            await asyncio.gather(*users)
+        log = site.gateways.log("vm-1")
+        assert "cut_requests=0" in log
+        assert log.count("event=caller_left") == 0
+
+    play(tmp_path, scene)
--- a/packages/gateway/peridot_gateway/daemon.py
+++ b/packages/gateway/peridot_gateway/daemon.py
@@ -164,6 +164,7 @@
             self.configuration.loaded
             and self.configuration.configuration.version > 0
             and self.targets.loaded
+            and self._knows_owners()
             and not self.ingress.stopping
         )
 
@@ -200,6 +201,9 @@
         except OSError:
             return None
 
+    def _knows_owners(self) -> bool:
+        return bool(self.owners.tables) or not self.load.divided_services()
+
     def _ready_page(self, request: web.BaseRequest) -> web.Response:
         if request.path != self.surroundings.dialect.ready_path:
             return web.Response(status=404)
--- a/packages/gateway/peridot_gateway/ingress.py
+++ b/packages/gateway/peridot_gateway/ingress.py
@@ -36,8 +36,6 @@
 GATEWAY_TIMEOUT_STATUS = 504
 NOT_READY_RETRY_MS = 500
 CLOSE_POLL_S = 0.02
-# Callers send the rest of a request within this time.
-QUIET_S = 0.3
 # What begins at the very end still gets its answer.
 SHUTDOWN_TIMEOUT_S = 0.4
 # Idle connections are kept this much longer than callers reuse them.
@@ -65,6 +63,8 @@
         self.open_requests = 0
         self.stopping = False
         self.orders: set[asyncio.Task] = set()
+        # Connections with a request open, or whose last answer says that they close.
+        self.in_use: set[web.RequestHandler] = set()
 
     @asynccontextmanager
     async def serve(self, address: str) -> AsyncIterator[None]:
@@ -89,15 +89,15 @@
             await runner.cleanup()
 
     async def close(self, ends: float) -> None:
-        """Take no new connections; return once all is quiet, or at a time (s).
+        """Take no new connections; return once all have ended, or at a time (s).
 
-        Requests may still come on open connections, which close with their answer.
+        Idle connections close now, the others with their answer.
         """
         await self.site.stop()
-        quiet_since = monotonic()
-        while (now := monotonic()) < min(ends, quiet_since + QUIET_S):
-            if self.open_requests or self.orders:
-                quiet_since = now
+        while monotonic() < ends and (self.server.connections or self.orders):
+            for connection in self.server.connections:
+                if connection not in self.in_use:
+                    connection.force_close()
             await asyncio.sleep(CLOSE_POLL_S)
 
     def _idle_s(self) -> float:
@@ -107,6 +107,7 @@
         """Answer one request of a caller."""
         began = monotonic()
         self.open_requests += 1
+        self.in_use.add(http_request.protocol)
         terms = self.dialect.read_terms(http_request.headers)
         route = None
         try:
@@ -120,6 +121,8 @@
             raise
         finally:
             self.open_requests -= 1
+            if not self.stopping:
+                self.in_use.discard(http_request.protocol)
         self._record(route, terms, outcome, monotonic() - began)
         response = to_response(outcome)
         if self.stopping:
