--- a/packages/gateway/peridot_gateway/ingress.py
+++ b/packages/gateway/peridot_gateway/ingress.py
@@ -105,6 +105,10 @@
 
     async def handle(self, http_request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request of a caller."""
+        transport = http_request.transport
+        if transport is None or transport.is_closing():
+            # It crossed the closing of its connection: it must not run unanswered.
+            return to_response(NotRun(Reason.STOPPING))
         began = monotonic()
         self.open_requests += 1
         self.in_use.add(http_request.protocol)
