Always consider targets nearby

Ruled out: a larger factor for targets elsewhere, since the nearby ones weren't drawn at all.

Now three nearby and three elsewhere are drawn, and one elsewhere is taken once nearby ones have a wait of 0.3 of a work time (before: 0.5), so nobody waits longer for it.

--- a/packages/gateway/peridot_gateway/picker.py
+++ b/packages/gateway/peridot_gateway/picker.py
@@ -9,10 +9,12 @@
 from peridot_resources.configuration import ServingTarget
 
 # More candidates follow the best one closer; fewer avoid that all VMs pick alike.
-CANDIDATES = 4
-# A target elsewhere must be expected to answer this much sooner, since bytes
-# between data centres are dear.
-REMOTE_FACTOR = 1.5
+NEAR_CANDIDATES = 3
+FAR_CANDIDATES = 3
+# A target elsewhere must be expected to answer this much sooner: bytes between data
+# centres are dear, and nearby targets go on if the data centre is cut off. With less
+# than this share of a work time to wait nearby, nobody waits longer for it.
+REMOTE_FACTOR = 1.3
 # Each failed share of attempts makes a target look slower by this factor.
 FAILURE_FACTOR = 8.0
 # A target that has just started takes this factor longer.
@@ -32,14 +34,25 @@
     ) -> ServingTarget | None:
         """Return a target that isn't leaving and wasn't tried, or None."""
         now = monotonic()
-        usable = [t for t in targets if not t.leaving and t.name not in tried]
+        usable = [
+            t
+            for t in targets
+            if not t.leaving
+            and t.name not in tried
+            and self.estimates.gone_s(t.name) is None
+        ]
         sound = [t for t in usable if self.estimates.of(t.name).avoid_until <= now]
         choice = sound or usable
         if not choice:
             return None
-        few = self.rng.sample(choice, min(CANDIDATES, len(choice)))
+        near = [t for t in choice if t.data_centre == self.data_centre]
+        far = [t for t in choice if t.data_centre != self.data_centre]
+        few = self._sample(near, NEAR_CANDIDATES) + self._sample(far, FAR_CANDIDATES)
         return min(few, key=lambda target: self._cost(target, now))
 
+    def _sample(self, targets: list[ServingTarget], count: int) -> list[ServingTarget]:
+        return self.rng.sample(targets, min(count, len(targets)))
+
     def _cost(self, target: ServingTarget, now: float) -> float:
         estimate = self.estimates.of(target.name)
         cost = estimate.expected_s(target.slots, now)
--- a/packages/gateway/tests/test_picker.py
+++ b/packages/gateway/tests/test_picker.py
@@ -68,3 +68,23 @@
     assert pick_many(make_picker(estimates), targets) == {"q": 300}
     estimates.avoid("q")
     assert sum(pick_many(make_picker(estimates), targets).values()) == 300
+
+
+def test_idle_targets_nearby_are_found_among_many_elsewhere(make_target):
+    """Answers the pattern of a calm day: half of all requests left their data centre.
+
+    Four candidates of eleven often had none nearby among them.
+    """
+    targets = [make_target(name) for name in "pq"]
+    targets += [make_target(name, data_centre="b") for name in "rstuvwxyz"]
+    counts = pick_many(make_picker(Estimates()), targets)
+    assert counts["p"] + counts["q"] == 300
+
+
+def test_a_backlog_nearby_sends_requests_elsewhere(make_target):
+    """Answers the pattern of a data centre with more callers than targets."""
+    estimates = Estimates()
+    targets = [make_target("p"), make_target("q", data_centre="b")]
+    busy = estimates.of("p")
+    busy.others_in_flight, busy.others_at = targets[0].slots + 1, monotonic()
+    assert pick_many(make_picker(estimates), targets)["q"] == 300
