Tell members the targets over the placer's link

Ruled out: gathering for longer, since a draining target must be known within 2 s.

While the placer vouches that it has the store, members don't watch targets but take them from its states, as stored; they go on watching from the revision told when the link ends. Crossing changes are told apart by version.

--- a/packages/gateway/peridot_gateway/daemon.py
+++ b/packages/gateway/peridot_gateway/daemon.py
@@ -27,7 +27,8 @@
 from peridot_gateway.router import GatewayRouter, RouterParts
 from peridot_gateway.sender import Sender
 from peridot_gateway.settings import GatewaySettings
-from peridot_gateway.sources import ConfigurationSource, TargetSource
+from peridot_gateway.sources import ConfigurationSource
+from peridot_gateway.targets import TargetSource
 from peridot_objects.objects import ObjectStore
 from peridot_ownership.holds import HoldControl
 from peridot_ownership.record import Holder
--- a/packages/gateway/peridot_gateway/fleet.py
+++ b/packages/gateway/peridot_gateway/fleet.py
@@ -76,6 +76,7 @@
             me,
             parts.owners,
             parts.estimates,
+            parts.load.targets,
             StoreProbe(parts.store),
             parts.log,
         )
--- a/packages/gateway/peridot_gateway/fleetload.py
+++ b/packages/gateway/peridot_gateway/fleetload.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from peridot_gateway.sources import ConfigurationSource, TargetSource
+from peridot_gateway.sources import ConfigurationSource
+from peridot_gateway.targets import TargetSource
 from peridot_ownership.loads import KeyLoads
 from peridot_ownership.view import FleetView
 from peridot_placement.clock import boot_time
--- a/packages/gateway/peridot_gateway/following.py
+++ b/packages/gateway/peridot_gateway/following.py
@@ -5,11 +5,12 @@
 
 from peridot_gateway.estimates import Estimates
 from peridot_gateway.links import SILENT_S, LinkEnd, follow_placer
-from peridot_gateway.messages import parse_rights, parse_tables
+from peridot_gateway.messages import parse_entry, parse_rights, parse_tables
 from peridot_gateway.owners import Owners
 from peridot_gateway.probe import StoreProbe
 from peridot_gateway.roster import Peers
 from peridot_gateway.succession import PlacerSighting
+from peridot_gateway.targets import TargetSource
 from peridot_ownership.record import Holder
 from peridot_placement.clock import boot_time
 from peridot_placement.decisions import DecisionLog
@@ -27,12 +28,14 @@
         me: Holder,
         owners: Owners,
         estimates: Estimates,
+        targets: TargetSource,
         probe: StoreProbe,
         log: DecisionLog,
     ) -> None:
         self.me = me
         self.owners = owners
         self.estimates = estimates
+        self.targets = targets
         self.probe = probe
         self.log = log
         self.peers = Peers()
@@ -66,6 +69,7 @@
         self.followed = holder
         end = await follow_placer(holder.address, build_report, self.take_state)
         self.heard_at = float("-inf")
+        self.targets.end_feed()
         self.log.write("placer_lost", placer=holder.vm, reason=end)
         return end
 
@@ -90,6 +94,11 @@
             )
         else:
             self.peers.take(self.peers.holders)
+        if state.entries_listed or state.entries:
+            kind = self.targets.kind
+            changes = [parse_entry(kind, item) for item in state.entries]
+            revision = state.entries_revision
+            self.targets.feed(changes, state.entries_listed, revision)
         if state.targets_listed:
             in_flight = {item.target: item.in_flight for item in state.targets}
             self.estimates.take_others(in_flight)
--- a/packages/gateway/peridot_gateway/messages.py
+++ b/packages/gateway/peridot_gateway/messages.py
@@ -5,6 +5,7 @@
 from math import ceil
 
 from peridot_gateway.owners import OwnerTable
+from peridot_objects.outcomes import Change, DeletedObject, StoredObject
 from peridot_ownership.holds import Hold
 from peridot_ownership.ranges import KeyRange
 from peridot_ownership.rights import EarlierRights
@@ -81,6 +82,19 @@
     )
 
 
+def serialize_entry(change: Change) -> pb.TargetEntry:
+    """Return the message of a target's announcement or its removal."""
+    value = b"" if isinstance(change, DeletedObject) else change.value
+    return pb.TargetEntry(name=change.name, version=change.version, value=value)
+
+
+def parse_entry(kind: str, message: pb.TargetEntry) -> Change:
+    """Return the change that a message tells of an object of a kind."""
+    if not message.value:
+        return DeletedObject(kind, message.name, message.version)
+    return StoredObject(kind, message.name, message.version, message.value)
+
+
 def serialize_keys(counts: Mapping[str, Counter[int]]) -> list[pb.KeyCounts]:
     """Return the messages of requests by key."""
     return [
--- a/packages/gateway/peridot_gateway/router.py
+++ b/packages/gateway/peridot_gateway/router.py
@@ -14,7 +14,7 @@
 from peridot_gateway.picker import Picker
 from peridot_gateway.requests import GatewayRequest
 from peridot_gateway.sender import Attempt, Sender
-from peridot_gateway.sources import TargetSource
+from peridot_gateway.targets import TargetSource
 from peridot_placement.decisions import DecisionLog
 from peridot_resources.configuration import ServingTarget
 from peridot_routing.outcomes import Answered, NotRun, Outcome, Reason, Unknown
--- a/packages/gateway/peridot_gateway/states.py
+++ b/packages/gateway/peridot_gateway/states.py
@@ -4,7 +4,7 @@
 from time import monotonic
 
 from peridot_gateway.fleetload import FleetLoad
-from peridot_gateway.messages import serialize_tables
+from peridot_gateway.messages import serialize_entry, serialize_tables
 from peridot_gateway.roster import Roster
 from peridot_ownership.placer import Placer
 from peridot_ownership.record import Holder
@@ -21,6 +21,8 @@
     sequence: int = 0
     roster_version: int = -1
     targets_at: float = float("-inf")
+    # Number of changes of targets' entries; None before the first list.
+    entry_changes: int | None = None
 
 
 @dataclass
@@ -51,8 +53,23 @@
         if monotonic() >= sent.targets_at + TARGETS_PERIOD_S:
             self._add_targets(state, vm)
             sent.targets_at = monotonic()
+        if self.load.targets.reachable and self.load.targets.loaded:
+            self._add_entries(state, sent)
         return state
 
+    def _add_entries(self, state: pb.FleetState, sent: SentState) -> None:
+        """Tell the changes of targets' announcements, so that members don't ask."""
+        targets = self.load.targets
+        changes = None
+        if sent.entry_changes is not None:
+            changes = targets.changes_since(sent.entry_changes)
+        if changes is None:
+            state.entries_listed = True
+            changes = targets.entries.values()
+        state.entries.extend(serialize_entry(change) for change in changes)
+        state.entries_revision = targets.revision
+        sent.entry_changes = targets.change_count
+
     def _add_members(self, state: pb.FleetState) -> None:
         state.members_listed = True
         for holder in [self.me, *self.roster.holders()]:
--- a/packages/gateway/tests/test_leading.py
+++ b/packages/gateway/tests/test_leading.py
@@ -11,8 +11,9 @@
 from peridot_gateway.leading import Leading
 from peridot_gateway.owners import Owners
 from peridot_gateway.roster import Peers
-from peridot_gateway.sources import ConfigurationSource, TargetSource
+from peridot_gateway.sources import ConfigurationSource
 from peridot_gateway.states import SentState
+from peridot_gateway.targets import TargetSource
 from peridot_objects.objects import MemoryObjectStore
 from peridot_objects.outcomes import Missing
 from peridot_ownership import recorder as recorder_module
--- a/packages/gateway/tests/test_sources.py
+++ b/packages/gateway/tests/test_sources.py
@@ -2,10 +2,11 @@
 
 import asyncio
 
-from peridot_gateway import sources as sources_module
+from peridot_gateway import followers as followers_module
 from peridot_gateway.dialect import InvalidObject
 from peridot_gateway.owners import Owners, OwnerTable
-from peridot_gateway.sources import ConfigurationSource, TargetSource
+from peridot_gateway.sources import ConfigurationSource
+from peridot_gateway.targets import TargetSource
 from peridot_objects.objects import MemoryObjectStore
 from peridot_placement.decisions import MemoryDecisionLog
 from peridot_resources.configuration import Configuration, ServingTarget
@@ -133,8 +134,8 @@
     monkeypatch,
 ):
     """Watches are long while the placer vouches for them, to save calls."""
-    monkeypatch.setattr(sources_module, "BEHIND_S", 0.05)
-    monkeypatch.setattr(sources_module, "VOUCH_CHECK_S", 0.02)
+    monkeypatch.setattr(followers_module, "BEHIND_S", 0.05)
+    monkeypatch.setattr(followers_module, "VOUCH_CHECK_S", 0.02)
 
     async def play():
         store = DeafStore()
@@ -147,15 +148,15 @@
         await asyncio.sleep(0.2)
         task.cancel()
         assert source.configuration.version == 6
-        assert store.limits[0] == sources_module.VOUCHED_WATCH_S
-        assert store.limits[1] == sources_module.WATCH_S
+        assert store.limits[0] == followers_module.VOUCHED_WATCH_S
+        assert store.limits[1] == followers_module.WATCH_S
 
     asyncio.run(play())
 
 
 def test_a_long_watch_ends_when_nobody_vouches_for_it_any_more(monkeypatch):
-    monkeypatch.setattr(sources_module, "WATCH_S", 0.1)
-    monkeypatch.setattr(sources_module, "VOUCH_CHECK_S", 0.02)
+    monkeypatch.setattr(followers_module, "WATCH_S", 0.1)
+    monkeypatch.setattr(followers_module, "VOUCH_CHECK_S", 0.02)
 
     async def play():
         store = DeafStore()
