--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 1
 SECONDS ?= 60
 
-.PHONY: setup demo test lint format soak measure bench stubs docs
+.PHONY: setup demo test lint format soak soak-site measure bench stubs docs
 
 setup: $(VENV)/.ready
 
@@ -33,6 +33,9 @@
 test: lint
 	$(BIN)/python -m pytest
 
+soak-site: setup
+	$(BIN)/python -m peridot_fakes.sitesoak --seed=$(SEED) --seconds=$(SECONDS)
+
 soak: setup
 	$(BIN)/python -m peridot_fakes.soak --seed=$(SEED) --seconds=$(SECONDS)
 
--- a/packages/fakes/peridot_fakes/holdserver.py
+++ b/packages/fakes/peridot_fakes/holdserver.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 
 from peridot_fakes.holders import Holder
+from peridot_fakes.relay import Relay
 from peridot_ownership.holds import Grant, Granted
 from peridot_ownership.ranges import KeyRange
 
@@ -36,6 +37,9 @@
     # Answer so many requests with another request's id first.
     foreign: int = 0
     born: int = 1
+    # Stands for the network before it, if it has one.
+    relay: Relay | None = None
+    announced_port: int | None = None
     holder: Holder = field(default_factory=Holder)
     runs: Counter = field(default_factory=Counter)
     running: int = 0
@@ -44,18 +48,22 @@
     def __post_init__(self) -> None:
         self.free = asyncio.Semaphore(self.slots)
 
+    def restart(self) -> None:
+        """Hold nothing, as after a start under the same name."""
+        self.holder = Holder()
+        self.born += 1
+
     def become(self, name: str, service: str) -> None:
         """Act as a server of a service without keys that has this address now."""
         self.name, self.service = name, service
         self.divided_by_key = False
-        self.holder = Holder()
-        self.born += 1
+        self.restart()
 
     def entry(self, state: str = "ready") -> dict:
         """Return what the server writes of itself into the store."""
         return {
             "service": self.service,
-            "address": f"127.0.0.1:{self.port}",
+            "address": f"127.0.0.1:{self.announced_port or self.port}",
             "zone": "zone-a",
             "version": "v1",
             "slots": self.slots,
--- /dev/null
+++ b/packages/fakes/peridot_fakes/policymodel.py
@@ -0,0 +1,230 @@
+"""A small model of targets under a moving hot set, to compare policies in seconds.
+
+Placement and the wait that admission weighs are the product's own functions; the
+targets, their queues and the callers are modelled, in virtual time, by seed.
+"""
+
+import heapq
+import random
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from peridot_gateway.admission import WORK_SHARE
+from peridot_gateway.estimates import TargetEstimate
+from peridot_ownership.loads import KeyLoads
+from peridot_ownership.placer import PLAN_PERIOD_S
+from peridot_ownership.planner import PlanInput, plan_moves
+from peridot_ownership.ranges import ALL_KEYS, KEY_SPACE, KeyRange, RangeTable
+
+# Time (s) between the start of a move and the first request at the new owner.
+MOVE_S = 0.05
+# Keys that aren't hot are drawn from so many, evenly.
+COLD_KEYS = 14_000
+# Work times vary evenly by this share.
+WORK_SPREAD = 0.5
+
+
+class Refusal(Enum):
+    """Name what a request must be expected to meet, or it is refused at once."""
+
+    NEVER = "never"
+    DEADLINE = "deadline"
+    # Not in the product yet.
+    OBJECTIVE = "objective"
+
+
+@dataclass(frozen=True)
+class Policy:
+    """Name the rules to compare."""
+
+    name: str
+    moves_by_load: bool
+    refusal: Refusal
+
+
+POLICIES = (
+    Policy("even ranges", False, Refusal.NEVER),
+    Policy("even, refuse by deadline", False, Refusal.DEADLINE),
+    Policy("by load", True, Refusal.NEVER),
+    Policy("by load, by deadline", True, Refusal.DEADLINE),
+    Policy("by load, by objective", True, Refusal.OBJECTIVE),
+)
+
+
+@dataclass(frozen=True)
+class Scenario:
+    """Hold the load and the targets of one run; times in seconds."""
+
+    rate: float
+    seconds: float = 60.0
+    targets: int = 14
+    slots: int = 3
+    queue: int = 24
+    work_s: float = 0.16
+    objective_s: float = 0.5
+    deadline_s: float = 1.2
+    hot_keys: int = 200
+    hot_share: float = 0.35
+    # The hot set goes elsewhere after this time.
+    hot_period_s: float = 6.0
+
+
+@dataclass
+class Outcome:
+    """Hold what became of all requests of a run."""
+
+    counts: Counter = field(default_factory=Counter)
+    waited_s: float = 0.0
+    moves: int = 0
+    moved_share: float = 0.0
+    # Requests served within the objective, and all, by second.
+    good: Counter = field(default_factory=Counter)
+    total: Counter = field(default_factory=Counter)
+
+    def share(self, kind: str) -> float:
+        """Return the share of requests that ended in a way."""
+        return self.counts[kind] / max(1, self.counts.total())
+
+    @property
+    def mean_wait_s(self) -> float:
+        """Return the mean wait of the requests that were served (s)."""
+        served = self.counts["in time"] + self.counts["late"]
+        return self.waited_s / max(1, served)
+
+
+@dataclass
+class ModelTarget:
+    """Hold a target's requests and what senders believe of it."""
+
+    estimate: TargetEstimate = field(default_factory=TargetEstimate)
+    waiting: deque[tuple[float, float]] = field(default_factory=deque)
+    running: int = 0
+
+
+class PolicyModel:
+    """Play one policy on one scenario."""
+
+    def __init__(self, scenario: Scenario, policy: Policy, seed: int) -> None:
+        self.scenario = scenario
+        self.policy = policy
+        self.rng = random.Random(seed)
+        names = [f"t{i:02}" for i in range(scenario.targets)]
+        self.targets = {name: ModelTarget() for name in names}
+        for target in self.targets.values():
+            target.estimate.work_s = scenario.work_s
+        self.table = RangeTable()
+        width = KEY_SPACE / scenario.targets
+        for i, name in enumerate(names):
+            keys = KeyRange(int(i * width), int((i + 1) * width))
+            self.table.assign(keys, name, 0)
+        self.table.assign(KeyRange(int(width * (len(names) - 1)), KEY_SPACE), name, 0)
+        self.loads = KeyLoads()
+        self.moving: list[KeyRange] = []
+        self.hot_start = 0
+        self.outcome = Outcome()
+        self.events: list[tuple[float, int, Callable[[float], None]]] = []
+        self.number = 0
+
+    def play(self) -> Outcome:
+        """Return what became of the requests."""
+        self._at(0.0, self._arrive)
+        self._at(0.0, self._move_hot_set)
+        if self.policy.moves_by_load:
+            self._at(PLAN_PERIOD_S, self._plan)
+        while self.events:
+            now, _, act = heapq.heappop(self.events)
+            act(now)
+        return self.outcome
+
+    def _at(self, when: float, act: Callable[[float], None]) -> None:
+        self.number += 1
+        heapq.heappush(self.events, (when, self.number, act))
+
+    def _again(self, when: float, act: Callable[[float], None]) -> None:
+        if when < self.scenario.seconds:
+            self._at(when, act)
+
+    def _move_hot_set(self, now: float) -> None:
+        self.hot_start = self.rng.randrange(KEY_SPACE - self.scenario.hot_keys)
+        self._again(now + self.scenario.hot_period_s, self._move_hot_set)
+
+    def _arrive(self, now: float) -> None:
+        key = self._draw_key()
+        self.loads.add([(key, 1)], now)
+        self.outcome.total[int(now)] += 1
+        self._send(key, now, now)
+        self._again(now + self.rng.expovariate(self.scenario.rate), self._arrive)
+
+    def _draw_key(self) -> int:
+        if self.rng.random() < self.scenario.hot_share:
+            return self.hot_start + self.rng.randrange(self.scenario.hot_keys)
+        return self.rng.randrange(COLD_KEYS) * KEY_SPACE // COLD_KEYS
+
+    def _send(self, key: int, arrived: float, now: float) -> None:
+        if any(keys.start <= key < keys.end for keys in self.moving):
+            self._at(now + MOVE_S, lambda later: self._send(key, arrived, later))
+            return
+        target = self.targets[self.table.find(key).owner]
+        scenario = self.scenario
+        target.estimate.in_flight = target.running + len(target.waiting)
+        wait_s = target.estimate.expected_wait_s(scenario.slots, now)
+        needed_s = wait_s + WORK_SHARE * target.estimate.work_s
+        if wait_s > 0 and needed_s > self._limit_s() - (now - arrived):
+            self.outcome.counts["refused"] += 1
+        elif len(target.waiting) >= scenario.queue:
+            self.outcome.counts["shed"] += 1
+        else:
+            target.waiting.append((arrived, now))
+            self._start_next(target, now)
+
+    def _limit_s(self) -> float:
+        match self.policy.refusal:
+            case Refusal.NEVER:
+                return float("inf")
+            case Refusal.DEADLINE:
+                return self.scenario.deadline_s
+            case Refusal.OBJECTIVE:
+                return self.scenario.objective_s
+
+    def _start_next(self, target: ModelTarget, now: float) -> None:
+        while target.waiting and target.running < self.scenario.slots:
+            arrived, sent = target.waiting.popleft()
+            if now - arrived >= self.scenario.deadline_s:
+                self.outcome.counts["expired"] += 1
+                continue
+            target.running += 1
+            spread = self.rng.uniform(1 - WORK_SPREAD, 1 + WORK_SPREAD)
+            ends = now + self.scenario.work_s * spread
+            self.outcome.waited_s += now - sent
+            self._at(ends, lambda later, a=arrived: self._finish(target, a, later))
+
+    def _finish(self, target: ModelTarget, arrived: float, now: float) -> None:
+        target.running -= 1
+        took_s = now - arrived
+        if took_s <= self.scenario.objective_s:
+            self.outcome.counts["in time"] += 1
+            self.outcome.good[int(arrived)] += 1
+        elif took_s <= self.scenario.deadline_s:
+            self.outcome.counts["late"] += 1
+        else:
+            self.outcome.counts["expired"] += 1
+        self._start_next(target, now)
+
+    def _plan(self, now: float) -> None:
+        capacity = self.scenario.slots / self.scenario.work_s
+        capacities = dict.fromkeys(self.targets, capacity)
+        profile = self.loads.profile(now)
+        plan = PlanInput(self.table, profile, capacities, tuple(self.moving))
+        for move in plan_moves(plan):
+            self.moving.append(move.keys)
+            self.outcome.moves += 1
+            width = move.keys.end - move.keys.start
+            self.outcome.moved_share += width / (ALL_KEYS.end - ALL_KEYS.start)
+            self._at(now + MOVE_S, lambda _, m=move: self._end_move(m))
+        self._again(now + PLAN_PERIOD_S, self._plan)
+
+    def _end_move(self, move) -> None:
+        self.table.assign(move.keys, move.destination, 0)
+        self.moving.remove(move.keys)
--- a/packages/fakes/peridot_fakes/site.py
+++ b/packages/fakes/peridot_fakes/site.py
@@ -15,6 +15,7 @@
 from peridot_fakes.fleet import free_ports
 from peridot_fakes.holdserver import HoldServer
 from peridot_fakes.objectapi import ObjectApi
+from peridot_fakes.relay import Relay
 
 START_TIMEOUT_S = 15.0
 POLL_S = 0.05
@@ -161,8 +162,10 @@
         await self.stack.enter_async_context(self.api.serve(port))
         return port
 
-    async def add_server(self, name: str, service: str, **options) -> HoldServer:
-        """Start a server and let it announce itself."""
+    async def add_server(
+        self, name: str, service: str, relayed: bool = False, **options
+    ) -> HoldServer:
+        """Start a server, perhaps behind a relay, and let it announce itself."""
         server = HoldServer(
             name,
             service,
@@ -170,6 +173,11 @@
             divided_by_key=service == "files",
             **options,
         )
+        if relayed:
+            server.relay = Relay(server.port)
+            server.announced_port = free_ports(1)[0]
+            listening = server.relay.listen(server.announced_port)
+            await self.stack.enter_async_context(listening)
         await self.stack.enter_async_context(server.serve())
         self.servers[name] = server
         await self.api.put("servers", name, server.entry())
