--- a/packages/gateway/peridot_gateway/followers.py
+++ b/packages/gateway/peridot_gateway/followers.py
@@ -51,6 +51,10 @@
         self.vouched: Callable[[], int | None] = lambda: None
         # When the last answer of the store arrived (s, monotonic).
         self.heard_at = 0.0
+        # When the watch that runs or ran last began (s, monotonic).
+        self.watch_began = 0.0
+        # How old the view was when the last answer arrived (s).
+        self.age_before_s = 0.0
         self.changed = ChangeSignal()
 
     @abstractmethod
@@ -95,11 +99,12 @@
 
     async def _watch(self) -> bool:
         """Return whether the watch can go on; if not, list again."""
+        self.watch_began = monotonic()
         outcome = await self._wait_for_changes()
         if outcome is None:
             return True
         if isinstance(outcome, RevisionTooOld):
-            self.log.write("history_gone", kind=self.kind, revision=self.revision)
+            self._log_watch("history_gone")
             return False
         if isinstance(outcome, StoreUnavailable):
             self._note(False, outcome.reason)
@@ -156,7 +161,7 @@
             elif not self._is_behind():
                 current_at = self.heard_at = now
             if now >= current_at + BEHIND_S and self._is_behind():
-                self.log.write("watch_behind", kind=self.kind, revision=self.revision)
+                self._log_watch("watch_behind")
                 return None
 
     def _is_behind(self) -> bool:
@@ -170,7 +175,19 @@
     def _note(self, reachable: bool, reason: str) -> None:
         if reachable != self.reachable:
             event = "source_regained" if reachable else "source_lost"
-            self.log.write(event, kind=self.kind, reason=reason, revision=self.revision)
+            self._log_watch(event, reason=reason)
         self.reachable = reachable
         if reachable:
+            self.age_before_s = self.age_s if self.loaded else 0.0
             self.heard_at = monotonic()
+
+    def _log_watch(self, event: str, **more: object) -> None:
+        """Log what became of a watch, since when it ran and how old the view is."""
+        self.log.write(
+            event,
+            kind=self.kind,
+            revision=self.revision,
+            watched=round(monotonic() - self.watch_began, 2) if self.loaded else "-",
+            age=round(self.age_s, 2) if self.loaded else "-",
+            **more,
+        )
--- a/packages/gateway/peridot_gateway/sources.py
+++ b/packages/gateway/peridot_gateway/sources.py
@@ -47,5 +47,6 @@
             before=self.configuration.version,
             routes=len(found.routes),
             revision=change.version,
+            age_before=round(self.age_before_s, 2),
         )
         self.index = RouteIndex(found)
--- a/packages/gateway/peridot_gateway/targets.py
+++ b/packages/gateway/peridot_gateway/targets.py
@@ -120,6 +120,8 @@
                 address=target.address,
                 leaving=target.leaving,
                 revision=item.version,
+                told_by="placer" if self.feeding else "store",
+                age_before=round(self.age_before_s, 2),
             )
 
     def _remove(self, change: DeletedObject) -> None:
--- a/packages/ownership/peridot_ownership/placer.py
+++ b/packages/ownership/peridot_ownership/placer.py
@@ -244,18 +244,39 @@
 
     async def _move(self, service: str, move: RangeMove) -> None:
         """Take keys back, store the new owner, then grant them."""
+        began = boot_time()
         with self._end_moving(service, move.keys):
             await asyncio.sleep(ANNOUNCE_S)
             handover = None
             if move.source is not None and move.source != move.destination:
                 handover = await self._take_back(move.source, move.keys)
+            taken_back = boot_time()
             fence = self.record.next_fence()
             self.record.tables[service].assign(move.keys, move.destination, fence)
             await self.recorder.write()
+            stored = boot_time()
             await self._grant_first(move, fence, handover)
+        self._log_moved(service, move, (began, taken_back, stored, boot_time()))
         self.moves += 1
         self._merge(service, move.keys)
 
+    def _log_moved(
+        self, service: str, move: RangeMove, times: tuple[float, ...]
+    ) -> None:
+        """Log how long a move took: taking back, storing, granting (ms)."""
+        took = [round((b - a) * 1000) for a, b in zip(times, times[1:], strict=False)]
+        self.log.write(
+            "moved",
+            service=service,
+            keys=f"{move.keys.start}-{move.keys.end - 1}",
+            source=move.source or "-",
+            destination=move.destination,
+            reason=move.reason,
+            take_back_ms=took[0],
+            store_ms=took[1],
+            grant_ms=took[2],
+        )
+
     @contextmanager
     def _end_moving(self, service: str, keys: KeyRange) -> Iterator[None]:
         """Count keys as under way until the context ends."""
