--- a/packages/fakes/peridot_fakes/objectapi.py
+++ b/packages/fakes/peridot_fakes/objectapi.py
@@ -28,6 +28,8 @@
     refused_ports: set[int] = field(default_factory=set)
     # Take calls and never answer them.
     silent: bool = False
+    # Let watches that begin now hear nothing, not even when their time is up.
+    deaf_watches: bool = False
     # Carry out so many writes without answering them.
     lose_answers: int = 0
     calls: int = 0
@@ -100,6 +102,8 @@
         )
 
     async def _watch(self, kind: str, request: web.Request) -> web.Response:
+        if self.deaf_watches:
+            await asyncio.sleep(SILENCE_S)
         since = int(request.query["watch"])
         oldest = self.history[0][0] if self.history else self.revision + 1
         if since < oldest - 1 and since < self.revision:
--- /dev/null
+++ b/packages/fakes/tests/test_freshness.py
@@ -0,0 +1,91 @@
+"""How old the view of the store's objects may get, through the adapter."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from peridot_fakes.fleet import free_ports
+from peridot_fakes.objectapi import ObjectApi
+from peridot_fakes.site import FILES_ROUTE, ORDERS_ROUTE, make_configuration
+from peridot_gateway.sources import ConfigurationSource
+from peridot_placement.decisions import MemoryDecisionLog
+from peridot_platform.dialect import PlatformDialect
+from peridot_platform.store import PlatformObjectStore
+
+# After a disruption of the store ends, views must be current in this time (s).
+SETTLED_S = 3.0
+# How long watches hear nothing before their history is dropped (s).
+DEAF_S = 0.5
+POLL_S = 0.02
+
+Scene = Callable[[ObjectApi, PlatformObjectStore, asyncio.TaskGroup], Awaitable[None]]
+
+
+def play(scene: Scene) -> None:
+    async def run():
+        port = free_ports(1)[0]
+        api = ObjectApi()
+        store = PlatformObjectStore(f"127.0.0.1:{port}")
+        async with api.serve(port):
+            try:
+                async with asyncio.TaskGroup() as group:
+                    await scene(api, store, group)
+            finally:
+                await store.close()
+
+    asyncio.run(run())
+
+
+def make_source(store: PlatformObjectStore) -> ConfigurationSource:
+    return ConfigurationSource(store, PlatformDialect(), MemoryDecisionLog())
+
+
+async def put(api: ObjectApi, version: int) -> None:
+    form = make_configuration(version, [FILES_ROUTE, ORDERS_ROUTE])
+    await api.put("config", "main", form)
+
+
+async def change_unheard(api: ObjectApi) -> None:
+    """Change the configuration while watches are deaf, then drop the history."""
+    await asyncio.sleep(DEAF_S / 2)
+    await put(api, 2)
+    await asyncio.sleep(DEAF_S / 2)
+    api.deaf_watches = False
+    api.forget_history()
+
+
+async def wait_for_version(source: ConfigurationSource, version: int) -> None:
+    while source.configuration.version != version:
+        await asyncio.sleep(POLL_S)
+
+
+# Guards against a configuration in force late: a watch that heard nothing ran for
+# longer than the store's disruption and the time to settle.
+def test_a_configuration_is_in_force_in_time_after_watches_that_heard_nothing():
+    async def scene(api, store, group):
+        await put(api, 1)
+        api.deaf_watches = True
+        source = make_source(store)
+        running = group.create_task(source.run())
+        await change_unheard(api)
+        async with asyncio.timeout(SETTLED_S):
+            await wait_for_version(source, 2)
+        running.cancel()
+
+    play(scene)
+
+
+# Guards against the same at VMs that rely on a placer whose own watch heard nothing.
+def test_a_configuration_is_in_force_in_time_where_the_placer_heard_nothing_either():
+    async def scene(api, store, group):
+        await put(api, 1)
+        api.deaf_watches = True
+        placer, member = make_source(store), make_source(store)
+        member.vouched = lambda: placer.known_version or None
+        running = [group.create_task(item.run()) for item in (placer, member)]
+        await change_unheard(api)
+        async with asyncio.timeout(SETTLED_S):
+            await wait_for_version(member, 2)
+        for task in running:
+            task.cancel()
+
+    play(scene)
--- a/packages/gateway/tests/test_sources.py
+++ b/packages/gateway/tests/test_sources.py
@@ -154,6 +154,27 @@
     asyncio.run(play())
 
 
+# Guards against a configuration in force late: a short watch, begun while no placer
+# vouched, ran its full time although the placer then knew of a change.
+def test_a_short_watch_is_begun_anew_as_well_when_the_placer_knows_more(monkeypatch):
+    monkeypatch.setattr(followers_module, "BEHIND_S", 0.05)
+    monkeypatch.setattr(followers_module, "VOUCH_CHECK_S", 0.02)
+
+    async def play():
+        store = DeafStore()
+        await store.write("configuration", "main", b"5", None)
+        source = ConfigurationSource(store, PlainDialect(), MemoryDecisionLog())
+        task = asyncio.create_task(source.run())
+        await asyncio.sleep(0.05)
+        await store.write("configuration", "main", b"6", None)
+        source.vouched = lambda: store.revision
+        await asyncio.sleep(0.2)
+        task.cancel()
+        assert source.configuration.version == 6
+
+    asyncio.run(play())
+
+
 def test_a_long_watch_ends_when_nobody_vouches_for_it_any_more(monkeypatch):
     monkeypatch.setattr(followers_module, "WATCH_S", 0.1)
     monkeypatch.setattr(followers_module, "VOUCH_CHECK_S", 0.02)
