Bound the age of every view of the store, whatever its watch hears

Cause: silence of a watch counted as "nothing new" for as long as the watch lasted. A short watch ran its 3.5 s and 0.8 s of margin without anyone looking at it; a comment added the time to settle (3 s) and the time to take effect (2 s), which don't add up.

Now each watch is supervised: it ends when it was begun long and nobody vouches any more, or when the placer has known more for 0.4 s; then the view is listed, since a list answers even where watches hear nothing.

One older check is replaced by one as strict: after a silent watch there is a second list and again a long watch, where it asked for a second, short watch.

--- a/packages/fakes/peridot_fakes/site.py
+++ b/packages/fakes/peridot_fakes/site.py
@@ -27,6 +27,7 @@
     "retryBudgetRatio=0.2",
     "retryBudgetMin=60",
     "retryWindowS=10",
+    "stabilityWindowS=3",
 )
 ROUTE_COLUMNS = (
     "name host pathPrefix routeType timeoutS targetLatencyS priority trafficSplit"
--- a/packages/gateway/peridot_gateway/daemon.py
+++ b/packages/gateway/peridot_gateway/daemon.py
@@ -98,6 +98,7 @@
         self.me = Holder(settings.vm, uuid4().hex, settings.fleet_listener)
         self.configuration = ConfigurationSource(store, dialect, log)
         self.targets = TargetSource(store, dialect, log)
+        self._set_time_to_settle()
         self.estimates = Estimates()
         self.owners = Owners()
         self.sender = Sender(dialect, self.estimates)
@@ -135,6 +136,10 @@
             dialect, self.configuration, self.router, self.metrics, log, rng
         )
 
+    def _set_time_to_settle(self) -> None:
+        for source in (self.configuration, self.targets):
+            source.settle_within(self.settings.settle_s)
+
     def _vouched_version(self, place: int) -> int | None:
         versions = self.fleet.vouched_versions()
         return versions[place] if versions is not None else None
@@ -190,6 +195,7 @@
         self.log.write("reloaded", changed=",".join(changed) or "-")
         self.settings = settings
         self.router.set_terms(settings.repeats)
+        self._set_time_to_settle()
         self.fleet.parts.hold_max_s = settings.hold_max_s
 
     async def _follow_settings(self) -> None:
--- a/packages/gateway/peridot_gateway/followers.py
+++ b/packages/gateway/peridot_gateway/followers.py
@@ -3,6 +3,7 @@
 import asyncio
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterable
+from enum import Enum, auto
 from time import monotonic
 
 from peridot_gateway.dialect import Dialect
@@ -18,20 +19,32 @@
 from peridot_placement.decisions import DecisionLog
 from peridot_placement.signals import ChangeSignal
 
-# A connection that has gone silent is noticed after a watch and its margin, in time
-# for changes to be in force 5 s later (3 s to settle, 2 s to take effect).
-WATCH_S = 3.5
+# A quiet watch may be one that hears nothing, so its length bounds the view's age.
+# Views must be current again a given time after a disruption of the store ends. A watch
+# gets this share of it; the rest is for its late answer, a pause, the next call, and
+# for members to learn that their placer's watch has failed.
+WATCH_SHARE = 1 / 3
+# The share of 3 s, the time to settle of the operators' sites.
+WATCH_S = 1.0
 # A placer that vouches that nothing is newer allows longer watches; they end before
 # the store forgets the history since their start (20 s).
 VOUCHED_WATCH_S = 15.0
-# A watch that is behind what the placer knows for longer has lost its connection.
-BEHIND_S = 0.7
+# Watches that bring what the placer knows do so within this time, else hear nothing.
+BEHIND_S = 0.4
 VOUCH_CHECK_S = 0.25
 # While the store doesn't answer, shorter watches notice its return.
 LOST_WATCH_S = 0.3
 RETRY_S = 0.25
 
 
+class Interruption(Enum):
+    """Name why a watch was ended before its answer."""
+
+    FED = auto()
+    UNVOUCHED = auto()
+    BEHIND = auto()
+
+
 class Follower(ABC):
     """List the objects of one kind, then watch them, for as long as it runs."""
 
@@ -49,6 +62,8 @@
         self.last_change = 0
         # Tells the version of the newest change that exists, if the placer knows it.
         self.vouched: Callable[[], int | None] = lambda: None
+        # How long a watch lasts that nobody vouches for (s).
+        self.watch_s = WATCH_S
         # When the last answer of the store arrived (s, monotonic).
         self.heard_at = 0.0
         # When the watch that runs or ran last began (s, monotonic).
@@ -75,6 +90,10 @@
         """Return the version of the newest change, 0 if there may be newer ones."""
         return self.last_change if self.reachable else 0
 
+    def settle_within(self, settle_s: float) -> None:
+        """Keep the view current to a time after a disruption (s)."""
+        self.watch_s = settle_s * WATCH_SHARE
+
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
@@ -101,8 +120,8 @@
         """Return whether the watch can go on; if not, list again."""
         self.watch_began = monotonic()
         outcome = await self._wait_for_changes()
-        if outcome is None:
-            return True
+        if isinstance(outcome, Interruption):
+            return outcome is not Interruption.BEHIND
         if isinstance(outcome, RevisionTooOld):
             self._log_watch("history_gone")
             return False
@@ -119,23 +138,25 @@
             self.changed.notify()
         return True
 
-    async def _wait_for_changes(self) -> WatchOutcome | None:
-        """Watch once; None if the watch has to begin anew."""
+    async def _wait_for_changes(self) -> WatchOutcome | Interruption:
+        """Watch once."""
         if self.is_fed():
             await self._wait_while_fed()
-            return None
-        if not self.reachable:
-            return await self.store.watch([self.kind], self.revision, LOST_WATCH_S)
-        if self.vouched() is None or self._is_behind():
-            return await self.store.watch([self.kind], self.revision, WATCH_S)
+            return Interruption.FED
+        limit_s = self._watch_limit_s()
         watching = asyncio.create_task(
-            self.store.watch([self.kind], self.revision, VOUCHED_WATCH_S)
+            self.store.watch([self.kind], self.revision, limit_s)
         )
         try:
-            return await self._watch_while_vouched(watching)
+            return await self._supervise(watching, limit_s)
         finally:
             watching.cancel()
 
+    def _watch_limit_s(self) -> float:
+        if not self.reachable:
+            return LOST_WATCH_S
+        return self.watch_s if self.vouched() is None else VOUCHED_WATCH_S
+
     def is_fed(self) -> bool:
         """Tell whether the placer tells all changes, so that no watch is needed."""
         return False
@@ -145,24 +166,29 @@
             self.heard_at = monotonic()
             await asyncio.sleep(VOUCH_CHECK_S)
 
-    async def _watch_while_vouched(self, watching: asyncio.Task) -> WatchOutcome | None:
-        began = monotonic()
-        current_at = began
+    async def _supervise(
+        self, watching: asyncio.Task, limit_s: float
+    ) -> WatchOutcome | Interruption:
+        """Return a watch's outcome, or why it can't be relied on any longer."""
+        behind_since: float | None = None
         while True:
             await asyncio.wait([watching], timeout=VOUCH_CHECK_S)
             if watching.done():
                 return watching.result()
             if self.is_fed():
-                return None
+                return Interruption.FED
             now = monotonic()
             if self.vouched() is None:
-                if now >= began + WATCH_S:
-                    return None
+                behind_since = None
+                if limit_s > self.watch_s and now >= self.watch_began + self.watch_s:
+                    return Interruption.UNVOUCHED
             elif not self._is_behind():
-                current_at = self.heard_at = now
-            if now >= current_at + BEHIND_S and self._is_behind():
+                behind_since, self.heard_at = None, now
+            elif behind_since is None:
+                behind_since = now
+            elif now >= behind_since + BEHIND_S:
                 self._log_watch("watch_behind")
-                return None
+                return Interruption.BEHIND
 
     def _is_behind(self) -> bool:
         vouched = self.vouched()
--- a/packages/gateway/peridot_gateway/settings.py
+++ b/packages/gateway/peridot_gateway/settings.py
@@ -21,3 +21,5 @@
     # Longest hold that targets accept (s).
     hold_max_s: float
     repeats: BudgetTerms
+    # Views must be current again this long after a disruption ends (s).
+    settle_s: float
--- a/packages/gateway/tests/test_sources.py
+++ b/packages/gateway/tests/test_sources.py
@@ -121,6 +121,11 @@
         super().__init__()
         self.deaf_watches = 1
         self.limits: list[float] = []
+        self.lists = 0
+
+    async def list(self, kinds):
+        self.lists += 1
+        return await super().list(kinds)
 
     async def watch(self, kinds, since, timeout_s):
         self.limits.append(timeout_s)
@@ -149,7 +154,9 @@
         task.cancel()
         assert source.configuration.version == 6
         assert store.limits[0] == followers_module.VOUCHED_WATCH_S
-        assert store.limits[1] == followers_module.WATCH_S
+        # The list leaves nothing to be behind of, so the next watch is long again.
+        assert store.lists == 2
+        assert store.limits[1] == followers_module.VOUCHED_WATCH_S
 
     asyncio.run(play())
 
