Send nothing to an owner that has been leaving for long, whatever the placer knows

Cause: a sender went by the last table of owners without regard to its age. While the placer is lost, or has lost the store, nobody moves the keys of a target that leaves, and its senders, who know of the notice themselves, sent on.

Now a sender leaves such an owner alone once it may have been leaving for the drain time of the settings less 1 s, which covers the way of the notice and of a request. The keys then count as unowned: callers are refused at once, with a time, until they are moved. "May have been leaving" counts from when the view was last known to be current: a watch that waited brings news as it happens, one that is answered at once may bring what happened since the answer before, and a placer tells its own view's age and each notice's. Before, a told view counted as current whenever the placer was heard.

--- a/packages/fakes/peridot_fakes/holdserver.py
+++ b/packages/fakes/peridot_fakes/holdserver.py
@@ -42,6 +42,8 @@
     announced_port: int | None = None
     holder: Holder = field(default_factory=Holder)
     runs: Counter = field(default_factory=Counter)
+    # When it last took a request (s, monotonic).
+    taken_at: float = float("-inf")
     running: int = 0
     waiting: int = 0
 
@@ -119,6 +121,7 @@
         if self.shed or self.waiting >= self.queue:
             self.shed = max(0, self.shed - 1)
             return web.Response(status=503, headers=NOT_RUN | self._load())
+        self.taken_at = monotonic()
         self.waiting += 1
         async with self.free:
             self.waiting -= 1
--- a/packages/fakes/peridot_fakes/site.py
+++ b/packages/fakes/peridot_fakes/site.py
@@ -28,6 +28,7 @@
     "retryBudgetMin=60",
     "retryWindowS=10",
     "stabilityWindowS=3",
+    "drainS=2",
 )
 ROUTE_COLUMNS = (
     "name host pathPrefix routeType timeoutS targetLatencyS priority trafficSplit"
--- a/packages/fakes/tests/test_site.py
+++ b/packages/fakes/tests/test_site.py
@@ -18,8 +18,12 @@
 # A key is served again this long after the loss of a server or of the placer: a
 # hold and its margin, detection, and a restart on a busy machine.
 REGAINED_S = 8.0
+POLL_S = 0.02
+GATEWAYS = ("vm-1", "vm-2", "vm-3")
 # Longer than a placer acts without its store, so that only long holds help.
 SILENT_STORE_S = 8.0
+# New requests must not reach a target this long after its notice to leave (s).
+DRAIN_S = 2.0
 # Accepted configurations are in force everywhere within this time.
 CONFIG_S = 2.0
 
@@ -366,3 +370,26 @@
         }
 
     play(tmp_path, scene)
+
+
+# Guards against requests at a target that left beside the loss of the placer: nobody
+# moved its keys in time, and senders went by the last table of owners.
+def test_a_leaving_target_gets_no_late_requests_though_the_placer_is_lost(tmp_path):
+    async def scene(site):
+        await start(site, "vm-1 vm-2 vm-3")
+        loop = asyncio.get_running_loop()
+        placer = next(n for n in GATEWAYS if "event=term_taken" in site.gateways.log(n))
+        others = [name for name in GATEWAYS if name != placer]
+        leaving = site.servers["files-a"]
+        keys = [part.keys.start for part in leaving.holder.held]
+        site.gateways.processes[placer].send_signal(signal.SIGSTOP)
+        began = loop.time()
+        await site.api.put("servers", leaving.name, leaving.entry("draining"))
+        while loop.time() < began + 2 * DRAIN_S:
+            for name in others:
+                await site.send(name, "GET", "/files/x", keys[0])
+            await asyncio.sleep(POLL_S)
+        assert leaving.taken_at > began
+        assert leaving.taken_at <= began + DRAIN_S
+
+    play(tmp_path, scene)
--- a/packages/gateway/peridot_gateway/daemon.py
+++ b/packages/gateway/peridot_gateway/daemon.py
@@ -112,7 +112,12 @@
             log,
             rng,
         )
-        self.router = GatewayRouter(parts, settings.repeats, lambda: self.fleet.vms())
+        self.router = GatewayRouter(
+            parts,
+            settings.repeats,
+            lambda: self.fleet.vms(),
+            settings.leaving_serves_s,
+        )
         self.load = FleetLoad(self.configuration, self.targets)
         self.fleet = Fleet(
             self.me,
@@ -127,6 +132,7 @@
                 log,
                 rng,
                 settings.hold_max_s,
+                settings.leaving_serves_s,
                 lambda: self.configuration.reachable,
             ),
         )
@@ -196,7 +202,9 @@
         self.settings = settings
         self.router.set_terms(settings.repeats)
         self._set_time_to_settle()
+        self.router.leaving_serves_s = settings.leaving_serves_s
         self.fleet.parts.hold_max_s = settings.hold_max_s
+        self.fleet.parts.leaving_serves_s = settings.leaving_serves_s
 
     async def _follow_settings(self) -> None:
         """Reload the settings whenever their file changes."""
--- a/packages/gateway/peridot_gateway/fleet.py
+++ b/packages/gateway/peridot_gateway/fleet.py
@@ -56,6 +56,7 @@
     log: DecisionLog
     rng: random.Random
     hold_max_s: float
+    leaving_serves_s: float
     store_reachable: Callable[[], bool]
 
 
--- a/packages/gateway/peridot_gateway/fleetload.py
+++ b/packages/gateway/peridot_gateway/fleetload.py
@@ -37,6 +37,9 @@
     def is_address_reused(self, target: ServingTarget) -> bool:
         return self.targets.is_address_reused(target)
 
+    def leaving_s(self, target: str) -> float:
+        return self.targets.leaving_s(target)
+
     def loads_of(self, service: str) -> KeyLoads:
         return self.keys.setdefault(service, KeyLoads())
 
--- a/packages/gateway/peridot_gateway/followers.py
+++ b/packages/gateway/peridot_gateway/followers.py
@@ -32,6 +32,9 @@
 # Watches that bring what the placer knows do so within this time, else hear nothing.
 BEHIND_S = 0.4
 VOUCH_CHECK_S = 0.25
+# A watch that waited longer brings news as it happens; one that is answered at once may
+# bring all that happened since the answer before.
+PROMPT_S = 0.1
 # While the store doesn't answer, shorter watches notice its return.
 LOST_WATCH_S = 0.3
 RETRY_S = 0.25
@@ -68,8 +71,10 @@
         self.heard_at = 0.0
         # When the watch that runs or ran last began (s, monotonic).
         self.watch_began = 0.0
-        # How old the view was when the last answer arrived (s).
-        self.age_before_s = 0.0
+        # When the answer before the last arrived, and before which time the changes of
+        # the last one can't have been made (s, monotonic).
+        self.heard_before = float("-inf")
+        self.news_since = float("-inf")
         self.changed = ChangeSignal()
 
     @abstractmethod
@@ -85,6 +90,11 @@
         """Return how old the view may be."""
         return monotonic() - self.heard_at
 
+    @property
+    def age_before_s(self) -> float:
+        """Return how old the view was before the last answer, 0 before any."""
+        return max(0.0, self.heard_at - self.heard_before) if self.loaded else 0.0
+
     @property
     def known_version(self) -> int:
         """Return the version of the newest change, 0 if there may be newer ones."""
@@ -109,6 +119,7 @@
             self._note(False, outcome.reason)
             return False
         self._note(True, "listed")
+        self.news_since = self.heard_before
         self.revision = outcome.revision
         self._note_changes(outcome.objects)
         self.replace_all(outcome.objects, outcome.revision)
@@ -130,6 +141,9 @@
             await asyncio.sleep(RETRY_S)
             return True
         self._note(True, "watched")
+        now = monotonic()
+        waited = now - self.watch_began > PROMPT_S
+        self.news_since = now - PROMPT_S if waited else self.heard_before
         self.revision = max(self.revision, outcome.revision)
         self._note_changes(outcome.changes)
         for change in outcome.changes:
@@ -163,7 +177,6 @@
 
     async def _wait_while_fed(self) -> None:
         while self.is_fed():
-            self.heard_at = monotonic()
             await asyncio.sleep(VOUCH_CHECK_S)
 
     async def _supervise(
@@ -204,7 +217,8 @@
             self._log_watch(event, reason=reason)
         self.reachable = reachable
         if reachable:
-            self.age_before_s = self.age_s if self.loaded else 0.0
+            if self.loaded:
+                self.heard_before = self.heard_at
             self.heard_at = monotonic()
 
     def _log_watch(self, event: str, **more: object) -> None:
--- a/packages/gateway/peridot_gateway/following.py
+++ b/packages/gateway/peridot_gateway/following.py
@@ -5,7 +5,12 @@
 
 from peridot_gateway.estimates import Estimates
 from peridot_gateway.links import SILENT_S, LinkEnd, follow_placer
-from peridot_gateway.messages import parse_entry, parse_rights, parse_tables
+from peridot_gateway.messages import (
+    parse_entry,
+    parse_leaving,
+    parse_rights,
+    parse_tables,
+)
 from peridot_gateway.owners import Owners
 from peridot_gateway.probe import StoreProbe
 from peridot_gateway.roster import Peers
@@ -94,15 +99,22 @@
             )
         else:
             self.peers.take(self.peers.holders)
-        if state.entries_listed or state.entries:
-            kind = self.targets.kind
-            changes = [parse_entry(kind, item) for item in state.entries]
-            revision = state.entries_revision
-            self.targets.feed(changes, state.entries_listed, revision)
+        self._take_entries(state)
         if state.targets_listed:
             in_flight = {item.target: item.in_flight for item in state.targets}
             self.estimates.take_others(in_flight)
 
+    def _take_entries(self, state: pb.FleetState) -> None:
+        """Take in the announcements of targets, or that there are no newer ones."""
+        kind = self.targets.kind
+        self.targets.feed(
+            [parse_entry(kind, item) for item in state.entries],
+            state.entries_listed,
+            state.entries_revision,
+            state.targets_age_ms / 1000,
+            parse_leaving(state.entries),
+        )
+
     def _is_other_term(self, term: int) -> bool:
         return self.sighting is None or self.sighting.term != term
 
--- a/packages/gateway/peridot_gateway/messages.py
+++ b/packages/gateway/peridot_gateway/messages.py
@@ -11,6 +11,9 @@
 from peridot_ownership.rights import EarlierRights
 from peridot_wire import peridot_pb2 as pb
 
+# Ages beyond this don't matter (s).
+MAX_AGE_S = 3600.0
+
 
 def serialize_tables(
     tables: Mapping[str, list[tuple[int, str]]],
@@ -82,10 +85,24 @@
     )
 
 
-def serialize_entry(change: Change) -> pb.TargetEntry:
+def serialize_entry(change: Change, leaving_s: float) -> pb.TargetEntry:
     """Return the message of a target's announcement or its removal."""
-    value = b"" if isinstance(change, DeletedObject) else change.value
-    return pb.TargetEntry(name=change.name, version=change.version, value=value)
+    return pb.TargetEntry(
+        name=change.name,
+        version=change.version,
+        value=b"" if isinstance(change, DeletedObject) else change.value,
+        leaving_ms=serialize_age(leaving_s),
+    )
+
+
+def serialize_age(age_s: float) -> int:
+    """Return an age in ms; one that isn't known is a large one."""
+    return ceil(min(age_s, MAX_AGE_S) * 1000)
+
+
+def parse_leaving(messages: Iterable[pb.TargetEntry]) -> dict[str, float]:
+    """Return for how long targets may have been leaving (s)."""
+    return {item.name: item.leaving_ms / 1000 for item in messages if item.leaving_ms}
 
 
 def parse_entry(kind: str, message: pb.TargetEntry) -> Change:
--- a/packages/gateway/peridot_gateway/router.py
+++ b/packages/gateway/peridot_gateway/router.py
@@ -59,11 +59,17 @@
     """Answer requests, each once."""
 
     def __init__(
-        self, parts: RouterParts, terms: BudgetTerms, vms: Callable[[], int]
+        self,
+        parts: RouterParts,
+        terms: BudgetTerms,
+        vms: Callable[[], int],
+        leaving_serves_s: float,
     ) -> None:
         self.parts = parts
         self.terms = terms
         self.vms = vms
+        # For how long a target that leaves is sent new requests (s).
+        self.leaving_serves_s = leaving_serves_s
         self.budgets: dict[str, RepeatBudget] = {}
         self.key_counts: dict[str, Counter[int]] = {}
         self.repeats = 0
@@ -137,8 +143,7 @@
             target = self.parts.targets.targets.get(
                 owners.find(request.service.name, request.key)
             )
-            gone = target and self.parts.estimates.gone_s(target.name) is not None
-            if target is not None and not gone:
+            if target is not None and not self._is_given_up(target.name):
                 return self._check_owner(request, target)
             left_s = ends - asyncio.get_running_loop().time()
             if left_s <= 0 or not owners.tables:
@@ -153,7 +158,14 @@
         """Return for how long a key has had no owner that exists (s)."""
         owner = self.parts.owners.find(service, key)
         gone_s = self.parts.estimates.gone_s(owner) if owner else None
-        return gone_s or self.parts.owners.unowned_s(service, key)
+        left_s = self.parts.targets.leaving_s(owner) - self.leaving_serves_s
+        return max(gone_s or 0.0, left_s, self.parts.owners.unowned_s(service, key))
+
+    def _is_given_up(self, target: str) -> bool:
+        """Tell whether an owner gets no new requests, whatever the placer knows."""
+        if self.parts.estimates.gone_s(target) is not None:
+            return True
+        return self.parts.targets.leaving_s(target) > self.leaving_serves_s
 
     def _check_owner(
         self, request: GatewayRequest, target: ServingTarget
--- a/packages/gateway/peridot_gateway/settings.py
+++ b/packages/gateway/peridot_gateway/settings.py
@@ -4,6 +4,10 @@
 
 from peridot_gateway.budget import BudgetTerms
 
+# A target's notice takes up to this long from the store through the placer to all VMs,
+# and a request from the choice of its owner to the target (s).
+NOTICE_ALLOWANCE_S = 1.0
+
 
 @dataclass(frozen=True)
 class GatewaySettings:
@@ -23,3 +27,10 @@
     repeats: BudgetTerms
     # Views must be current again this long after a disruption ends (s).
     settle_s: float
+    # New requests must not reach a target this long after its notice to leave (s).
+    drain_s: float
+
+    @property
+    def leaving_serves_s(self) -> float:
+        """Return for how long a target that leaves is sent new requests (s)."""
+        return max(0.0, self.drain_s - NOTICE_ALLOWANCE_S)
--- a/packages/gateway/peridot_gateway/states.py
+++ b/packages/gateway/peridot_gateway/states.py
@@ -4,7 +4,7 @@
 from time import monotonic
 
 from peridot_gateway.fleetload import FleetLoad
-from peridot_gateway.messages import serialize_entry, serialize_tables
+from peridot_gateway.messages import serialize_age, serialize_entry, serialize_tables
 from peridot_gateway.roster import Roster
 from peridot_ownership.placer import Placer
 from peridot_ownership.record import Holder
@@ -43,6 +43,7 @@
             store_reachable=has_store,
             configuration_version=self.load.configuration.known_version,
             targets_version=self.load.targets.known_version,
+            targets_age_ms=serialize_age(self.load.targets.age_s),
         )
         if placer.sequence != sent.sequence:
             state.tables.extend(serialize_tables(placer.settled_tables()))
@@ -66,7 +67,10 @@
         if changes is None:
             state.entries_listed = True
             changes = targets.entries.values()
-        state.entries.extend(serialize_entry(change) for change in changes)
+        state.entries.extend(
+            serialize_entry(change, targets.leaving_s(change.name))
+            for change in changes
+        )
         state.entries_revision = targets.revision
         sent.entry_changes = targets.change_count
 
--- a/packages/gateway/peridot_gateway/targets.py
+++ b/packages/gateway/peridot_gateway/targets.py
@@ -1,7 +1,9 @@
 """Targets: those that announced themselves, from the store or from the placer."""
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+from time import monotonic
+from types import MappingProxyType
 
 from peridot_gateway.dialect import Dialect, InvalidObject
 from peridot_gateway.followers import Follower
@@ -14,6 +16,7 @@
 GATHER_S = 0.3
 # Members that missed more changes than this are told all targets.
 KEPT_CHANGES = 1_000
+NONE_LEAVING: Mapping[str, float] = MappingProxyType({})
 
 
 class TargetSource(Follower):
@@ -33,6 +36,8 @@
         self.changes: deque[Change] = deque(maxlen=KEPT_CHANGES)
         self.change_count = 0
         self.feeding = False
+        # Before which time (s) leaving targets can't have said so.
+        self.leaving_since: dict[str, float] = {}
 
     def of_service(self, service: str) -> list[ServingTarget]:
         """Return the targets of a service, leaving ones included."""
@@ -47,19 +52,39 @@
             for other in self.targets.values()
         )
 
+    def leaving_s(self, name: str) -> float:
+        """Return how long ago a target may have said that it leaves (s), 0 if never."""
+        since = self.leaving_since.get(name)
+        return 0.0 if since is None else monotonic() - since
+
     # Told by the placer.
 
     def is_fed(self) -> bool:
         return self.feeding and self.vouched() is not None
 
-    def feed(self, changes: Iterable[Change], listed: bool, revision: int) -> None:
-        """Take in what the placer tells: all targets, or changes since the last."""
+    def feed(
+        self,
+        changes: Iterable[Change],
+        listed: bool,
+        revision: int,
+        age_s: float = 0.0,
+        leaving_s: Mapping[str, float] = NONE_LEAVING,
+    ) -> None:
+        """Take in what the placer tells: all targets, or changes since the last.
+
+        Its view is so old, and some targets have been leaving for so long (s).
+        """
+        now = monotonic()
+        self.news_since, self.heard_at = now, max(self.heard_at, now - age_s)
         if listed:
             self.replace_all(tuple(changes), revision)
             self.feeding = self.loaded = True
         elif self.feeding:
             for change in changes:
                 self.take(change)
+        for name in self.leaving_since.keys() & leaving_s.keys():
+            since = now - leaving_s[name]
+            self.leaving_since[name] = min(self.leaving_since[name], since)
         self.revision = max(self.revision, revision)
         self.changed.notify()
 
@@ -106,7 +131,9 @@
         except InvalidObject as error:
             self.log.write("target_invalid", target=item.name, reason=error)
             self.targets.pop(item.name, None)
+            self.leaving_since.pop(item.name, None)
             return
+        self._note_leaving(target)
         before = self.targets.get(item.name)
         self.targets[item.name] = target
         if before is None or (before.leaving, before.started_ms) != (
@@ -124,11 +151,18 @@
                 age_before=round(self.age_before_s, 2),
             )
 
+    def _note_leaving(self, target: ServingTarget) -> None:
+        if target.leaving:
+            self.leaving_since.setdefault(target.name, self.news_since)
+        else:
+            self.leaving_since.pop(target.name, None)
+
     def _remove(self, change: DeletedObject) -> None:
         known = self.entries.get(change.name)
         if known is None or change.version < known.version:
             return
         del self.entries[change.name]
+        self.leaving_since.pop(change.name, None)
         self.removed[change.name] = max(change.version, known.version)
         self._record(change)
         if self.targets.pop(change.name, None) is not None:
--- a/packages/gateway/tests/test_fleet.py
+++ b/packages/gateway/tests/test_fleet.py
@@ -50,6 +50,7 @@
         log=log,
         rng=random.Random(1),
         hold_max_s=10.0,
+        leaving_serves_s=1.0,
         store_reachable=lambda: True,
     )
     return Fleet(me, "a", parts)
--- a/packages/gateway/tests/test_router.py
+++ b/packages/gateway/tests/test_router.py
@@ -17,6 +17,9 @@
 from peridot_placement.decisions import MemoryDecisionLog
 from peridot_routing.outcomes import Answered, NotRun, Reason, Unknown
 
+# Targets that leave serve for so long (s).
+LEAVING_SERVES_S = 1.0
+
 OK = Attempt(Answered(200, (), b"body", "t"))
 ERROR = Attempt(Answered(500, (), b"", "t"))
 LOST = Attempt(Unknown(Reason.CONNECTION_LOST))
@@ -99,7 +102,7 @@
             rng,
         )
         terms = BudgetTerms(0.0, minimum, 10.0)
-        return GatewayRouter(parts, terms, lambda: 1), sender
+        return GatewayRouter(parts, terms, lambda: 1, LEAVING_SERVES_S), sender
 
     return build
 
--- a/packages/gateway/tests/test_targets.py
+++ b/packages/gateway/tests/test_targets.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from peridot_gateway import followers as followers_module, targets as targets_module
+from peridot_gateway.messages import serialize_entry
 from peridot_gateway.targets import TargetSource
 from peridot_objects.objects import MemoryObjectStore
 from peridot_objects.outcomes import DeletedObject, StoredObject
@@ -18,7 +19,8 @@
     target_kind = KIND
 
     def parse_target(self, name, value):
-        return ServingTarget(name, "files", "127.0.0.1:1", "a", 3, False, 0.0)
+        leaving = value == b"leaving"
+        return ServingTarget(name, "files", "127.0.0.1:1", "a", 3, leaving, 0.0)
 
 
 def make_source(store=None) -> TargetSource:
@@ -27,8 +29,26 @@
     )
 
 
-def entry(name: str, version: int) -> StoredObject:
-    return StoredObject(KIND, name, version, b"x")
+def entry(name: str, version: int, value: bytes = b"x") -> StoredObject:
+    return StoredObject(KIND, name, version, value)
+
+
+def follow_while(change) -> TargetSource:
+    """Follow a store while it is changed; return the source."""
+
+    async def play():
+        store = MemoryObjectStore()
+        source = make_source(store)
+        source.gather_s = 0.0
+        await store.write(KIND, "p", b"x", None)
+        task = asyncio.create_task(source.run())
+        await asyncio.sleep(0.02)
+        await change(store, source)
+        await asyncio.sleep(0.02)
+        task.cancel()
+        return source
+
+    return asyncio.run(play())
 
 
 def test_a_fed_member_asks_the_store_for_nothing_and_goes_on_after_it(monkeypatch):
@@ -97,3 +117,47 @@
     assert source.changes_since(source.change_count - 1) == [
         entry("p", targets_module.KEPT_CHANGES + 1)
     ]
+
+
+# Guards against requests at leaving targets: news that had waited counted as new.
+def test_a_notice_that_a_watch_brings_at_once_may_be_as_old_as_the_view():
+    async def change(store, source):
+        await store.set_outage(True)
+        source.heard_at -= 1.3
+        await store.set_outage(False)
+        await store.write(KIND, "p", b"leaving", None)
+        await asyncio.sleep(0.3)
+
+    assert 1.3 < follow_while(change).leaving_s("p") < 2.0
+
+
+def test_a_notice_that_a_waiting_watch_brings_is_new():
+    async def change(store, source):
+        await asyncio.sleep(0.2)
+        await store.write(KIND, "p", b"leaving", None)
+
+    assert follow_while(change).leaving_s("p") < 0.2
+
+
+def test_a_target_that_leaves_at_first_sight_may_have_done_so_for_long():
+    source = make_source()
+    source.take(entry("p", 5, b"leaving"))
+    assert source.leaving_s("p") == float("inf")
+    assert serialize_entry(entry("p", 5), source.leaving_s("p")).leaving_ms > 60_000
+
+
+def test_members_are_told_how_long_targets_have_been_leaving():
+    source = make_source()
+    source.feed([entry("p", 5, b"leaving")], True, 5, 0.3, {"p": 1.5})
+    assert 1.5 <= source.leaving_s("p") < 1.6
+    source.feed([], False, 6, 0.4)
+    assert 1.5 <= source.leaving_s("p") < 1.6
+    assert 0.2 < source.age_s < 0.4
+
+
+def test_a_target_that_is_back_or_gone_does_not_leave():
+    source = make_source()
+    for last in (entry("p", 6), DeletedObject(KIND, "p", 6)):
+        source.take(entry("p", 5, b"leaving"))
+        source.take(last)
+        assert source.leaving_s("p") == 0.0
--- a/packages/ownership/peridot_ownership/view.py
+++ b/packages/ownership/peridot_ownership/view.py
@@ -21,6 +21,10 @@
     def is_address_reused(self, target: ServingTarget) -> bool:
         """Tell whether a target that started later announces the same address."""
 
+    @abstractmethod
+    def leaving_s(self, target: str) -> float:
+        """Return how long ago a target may have said that it leaves (s)."""
+
     @abstractmethod
     def loads_of(self, service: str) -> KeyLoads:
         """Return the loads of a service's keys."""
--- a/packages/ownership/tests/test_ownership_model.py
+++ b/packages/ownership/tests/test_ownership_model.py
@@ -122,6 +122,9 @@
     def is_address_reused(self, target: ServingTarget) -> bool:
         return target.name in self.reused
 
+    def leaving_s(self, target: str) -> float:
+        return 0.0
+
     def loads_of(self, service: str) -> KeyLoads:
         return self.loads
 
