Count how long a target has been leaving from its notice, not from the term

Now the view tells how long ago the notice may have been, also to a new placer that followed until then, and the time is the one after which senders stop (the drain time of the settings less 1 s): one figure for both.

--- a/packages/gateway/peridot_gateway/fleet.py
+++ b/packages/gateway/peridot_gateway/fleet.py
@@ -279,6 +279,7 @@
             parts.hold_max_s,
             self._find_earlier_rights(recorder.record.term),
             self.leading.has_most_members,
+            parts.leaving_serves_s,
         )
         await self.leading.lead(placer)
 
--- a/packages/gateway/tests/test_leading.py
+++ b/packages/gateway/tests/test_leading.py
@@ -52,7 +52,14 @@
     leading = Leading(ME, load, Owners(), Peers(), log, lambda: None)
     recorder = await take_term(store, ME, Missing(), log)
     placer = Placer(
-        recorder, MemoryHoldControl(), load, log, 10.0, NO_EARLIER_RIGHTS, lambda: True
+        recorder,
+        MemoryHoldControl(),
+        load,
+        log,
+        10.0,
+        NO_EARLIER_RIGHTS,
+        lambda: True,
+        1.0,
     )
     task = asyncio.create_task(leading.lead(placer))
     await asyncio.sleep(0.05)
--- a/packages/ownership/peridot_ownership/placer.py
+++ b/packages/ownership/peridot_ownership/placer.py
@@ -24,9 +24,6 @@
 PLAN_PERIOD_S = 0.3
 # The state of the balance is logged this often.
 BALANCE_LOG_S = 1.0
-# A target that leaves goes on serving for so long while grants without an answer run
-# out; after that its keys wait. New work must end 2 s after its notice.
-LEAVING_WAIT_S = 1.0
 # Daemons learn that keys move before the old owner refuses them.
 ANNOUNCE_S = 0.01
 # Work time (s) assumed of a service before any was measured.
@@ -47,8 +44,12 @@
         hold_max_s: float,
         earlier: EarlierRights,
         may_hold_long: Callable[[], bool],
+        leaving_serves_s: float,
     ) -> None:
         self.recorder = recorder
+        # A target that leaves goes on serving for so long (s) while grants without an
+        # answer run out; after that its keys wait.
+        self.leaving_serves_s = leaving_serves_s
         self.view = view
         self.log = log
         self.granter = Granter(
@@ -157,7 +158,8 @@
                 else:
                     contact.target = target
                 if target.leaving and contact.leaving_since is None:
-                    contact.leaving_since = boot_time()
+                    leaving_s = self.view.leaving_s(target.name)
+                    contact.leaving_since = boot_time() - leaving_s
 
     def _take_new_incarnation(self, contact: Contact) -> None:
         """Give a restarted target its keys anew, with higher fences.
@@ -303,7 +305,7 @@
         is_clear = self.granter.clear_at(contact, move.keys) <= now
         if contact.leaving_since is None:
             return not is_clear
-        return not is_clear and now - contact.leaving_since < LEAVING_WAIT_S
+        return not is_clear and now - contact.leaving_since < self.leaving_serves_s
 
     async def _grant_first(
         self, move: RangeMove, fence: int, handover: str | None
--- a/packages/ownership/tests/test_ownership_model.py
+++ b/packages/ownership/tests/test_ownership_model.py
@@ -39,6 +39,8 @@
 SERVICE = "status"
 TARGETS = "a b c d".split()
 HOLD_MAX_S = 10.0
+# Targets that leave serve for so long at most while a move has to wait (s).
+LEAVING_SERVES_S = 1.0
 STEPS = 25
 # Members are lost to an older placer so long (s) after a newer term was taken.
 FOLLOWED_S = 1.5
@@ -205,6 +207,7 @@
             HOLD_MAX_S,
             earlier_rights(recorder),
             self.make_member_check(self.number),
+            LEAVING_SERVES_S,
         )
         stack = AsyncExitStack()
         writing = asyncio.create_task(recorder.run())
--- a/packages/ownership/tests/test_placer.py
+++ b/packages/ownership/tests/test_placer.py
@@ -38,6 +38,8 @@
 SERVICE = "status"
 HOLD_S = 0.25
 HOLD_MAX_S = 0.4
+# Targets that leave serve for so long at most while a move has to wait (s).
+LEAVING_SERVES_S = 1.0
 
 
 @pytest.fixture(autouse=True)
@@ -130,6 +132,7 @@
             HOLD_MAX_S,
             earlier or earlier_rights(recorder),
             lambda: True,
+            LEAVING_SERVES_S,
         )
         writing = asyncio.create_task(recorder.run())
         try:
