Serialise the owners' tables once a change, not once a member

Cause: for each change of the tables, the placer computed and serialised all of them anew for each member, and again for itself ten times a second.

The tables only change with the sequence, which members are told by as well, so one copy for each sequence is right. The new test failed before (three serialisations for three members).

--- a/packages/gateway/peridot_gateway/leading.py
+++ b/packages/gateway/peridot_gateway/leading.py
@@ -7,7 +7,7 @@
 
 from peridot_gateway.fleetload import FleetLoad
 from peridot_gateway.links import REPORT_PERIOD_S
-from peridot_gateway.messages import parse_tables, serialize_rights, serialize_tables
+from peridot_gateway.messages import parse_tables, serialize_rights
 from peridot_gateway.owners import Owners
 from peridot_gateway.roster import Peers, Roster
 from peridot_gateway.states import SentState, StateWriter
@@ -113,8 +113,10 @@
         return lost_s > RESIGN_AFTER_S and self.roster.any_reaches_store()
 
     def _apply_own_tables(self, placer: Placer) -> None:
-        tables = parse_tables(serialize_tables(placer.settled_tables()))
-        self.owners.take(placer.record.term, placer.sequence, tables)
+        term, sequence = placer.record.term, placer.sequence
+        if (term, sequence) > (self.owners.term, self.owners.sequence):
+            tables = parse_tables(self.states.current_tables(placer))
+            self.owners.take(term, sequence, tables)
 
     # Serving members.
 
--- a/packages/gateway/peridot_gateway/states.py
+++ b/packages/gateway/peridot_gateway/states.py
@@ -1,6 +1,6 @@
 """States: what the placer tells its members, as little as they need."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from time import monotonic
 
 from peridot_gateway.fleetload import FleetLoad
@@ -32,6 +32,9 @@
     me: Holder
     roster: Roster
     load: FleetLoad
+    # The last tables and the term and sequence that they belong to.
+    tables: list[pb.OwnerTable] = field(default_factory=list)
+    tables_of: tuple[int, int] | None = None
 
     def describe(self, placer: Placer, vm: str, sent: SentState) -> pb.FleetState:
         """Return the state for a member; what it knows already is left out."""
@@ -46,7 +49,7 @@
             targets_age_ms=serialize_age(self.load.targets.age_s),
         )
         if placer.sequence != sent.sequence:
-            state.tables.extend(serialize_tables(placer.settled_tables()))
+            state.tables.extend(self.current_tables(placer))
             sent.sequence = placer.sequence
         if self.roster.version != sent.roster_version:
             self._add_members(state)
@@ -58,6 +61,14 @@
             self._add_entries(state, sent)
         return state
 
+    def current_tables(self, placer: Placer) -> list[pb.OwnerTable]:
+        """Return the tables of all services, serialised once for all members."""
+        current = placer.record.term, placer.sequence
+        if current != self.tables_of:
+            self.tables = serialize_tables(placer.settled_tables())
+            self.tables_of = current
+        return self.tables
+
     def _add_entries(self, state: pb.FleetState, sent: SentState) -> None:
         """Tell the changes of targets' announcements, so that members don't ask."""
         targets = self.load.targets
--- a/packages/gateway/tests/test_leading.py
+++ b/packages/gateway/tests/test_leading.py
@@ -6,9 +6,10 @@
 import pytest
 
 from peridot_fakes.holders import MemoryHoldControl
-from peridot_gateway import leading as leading_module
+from peridot_gateway import leading as leading_module, states as states_module
 from peridot_gateway.fleetload import FleetLoad
 from peridot_gateway.leading import Leading
+from peridot_gateway.messages import serialize_tables
 from peridot_gateway.owners import Owners
 from peridot_gateway.roster import Peers
 from peridot_gateway.sources import ConfigurationSource
@@ -128,3 +129,26 @@
             assert leading.describe_state("vm-3", sent).members_listed
 
     asyncio.run(play())
+
+
+# Guards against a placer without processor time left in a large fleet: each change of
+# the tables was serialised anew for each member.
+def test_a_change_of_the_tables_is_serialised_once_for_all_members(monkeypatch):
+    serialised = []
+
+    def count(tables):
+        serialised.append(tables)
+        return serialize_tables(tables)
+
+    monkeypatch.setattr(states_module, "serialize_tables", count)
+
+    async def play():
+        async with lead() as (_, leading, _):
+            serialised.clear()
+            leading.placer.sequence += 1
+            states = [leading.describe_state(vm, SentState()) for vm in ("a", "b", "c")]
+            assert len(serialised) == 1
+            assert all(state.sequence == leading.placer.sequence for state in states)
+            assert states[0].tables == states[2].tables
+
+    asyncio.run(play())
