Cut off answers of targets whose head or body never ends

Targets in trouble may send bytes without end in place of an answer. Callers would have waited until their deadline, while the gateway kept all bytes of the body in memory, for each such request: a VM of 200 MB is killed by a few of them.

What exceeds them ends as "unknown" at once, with the connection reset. Calls to grant and release use the same connections; refusals in the other mode are bounded by its policy now as well.

--- a/packages/fakes/tests/test_adapter.py
+++ b/packages/fakes/tests/test_adapter.py
@@ -1,6 +1,7 @@
 """The adapter: the platform's names and formats, decoded once."""
 
 import asyncio
+from contextlib import suppress
 
 import orjson
 import pytest
@@ -19,13 +20,17 @@
     WriteUnknown,
     Written,
 )
+from peridot_ownership.holds import Grant, Unanswered
+from peridot_ownership.ranges import ALL_KEYS
 from peridot_platform import store as store_module
 from peridot_platform.configuration import parse_configuration
 from peridot_platform.dialect import PlatformDialect
 from peridot_platform.errors import InvalidSettingsFile
+from peridot_platform.holds import PlatformHoldControl
 from peridot_platform.settings import load_settings
 from peridot_platform.store import PlatformObjectStore
 from peridot_platform.targets import parse_target
+from peridot_resources.configuration import ServingTarget
 
 
 def with_store(scene) -> None:
@@ -193,3 +198,28 @@
         path.write_text(text)
         with pytest.raises(InvalidSettingsFile):
             load_settings(path, 1)
+
+
+# Guards against memory and time spent on bytes without end in answers to grants.
+@pytest.mark.parametrize("start", [b"HTTP/1.1 200 OK\r\n\r\n", b"HTTP/1.1 200 "])
+def test_an_answer_to_a_grant_that_never_ends_is_cut_off(start):
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(start)
+        with suppress(ConnectionError):
+            while True:
+                writer.write(b"x" * 65_536)
+                await writer.drain()
+        writer.close()
+
+    async def play():
+        (port,) = free_ports(1)
+        control = PlatformHoldControl()
+        target = ServingTarget("t", "s", f"127.0.0.1:{port}", "a", 3, False, 0.0)
+        async with await asyncio.start_server(answer, "127.0.0.1", port):
+            async with asyncio.timeout(3):
+                found = await control.grant(target, Grant(ALL_KEYS, 1, 2.5), 10.0)
+            await control.close()
+        assert isinstance(found, Unanswered)
+
+    asyncio.run(play())
--- a/packages/gateway/peridot_gateway/sender.py
+++ b/packages/gateway/peridot_gateway/sender.py
@@ -20,6 +20,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from peridot_gateway.answers import MAX_HEADER_LINE_BYTES, MAX_HEADERS, Answers
 from peridot_gateway.dialect import AnswerFacts, Dialect
 from peridot_gateway.estimates import Estimates, TargetEstimate
 from peridot_gateway.requests import GatewayRequest, end_to_end
@@ -108,6 +109,9 @@
         cookie_jar=DummyCookieJar(),
         skip_auto_headers=AUTO_HEADERS,
         auto_decompress=False,
+        max_line_size=MAX_HEADER_LINE_BYTES,
+        max_field_size=MAX_HEADER_LINE_BYTES,
+        max_headers=MAX_HEADERS,
     )
     # The library would repeat requests whose kept connection was reset, beside the
     # budget; it has no public switch.
@@ -122,6 +126,7 @@
         self.dialect = dialect
         self.estimates = estimates
         self.connections: dict[str, TargetConnections] = {}
+        self.answers = Answers()
 
     async def attempt(
         self, request: GatewayRequest, target: ServingTarget, limit_s: float
@@ -220,9 +225,10 @@
         if facts.foreign:
             answer.close()
             return Attempt(Unknown(Reason.TORN_ANSWER, "another request's answer"))
-        body = await _read_whole(answer, request.method)
+        body = await self._read_whole(answer, request.method)
         if body is None:
-            return Attempt(Unknown(Reason.TORN_ANSWER, "broken off"))
+            answer.close()
+            return Attempt(Unknown(Reason.TORN_ANSWER, "broken off or too large"))
         if facts.misdirected:
             detail = f"answered by {facts.answered_by or 'an unnamed target'}"
             return Attempt(
@@ -238,20 +244,19 @@
         headers = end_to_end(answer.headers)
         return Attempt(Answered(answer.status, headers, body, target.name), facts)
 
-
-async def _read_whole(answer: ClientResponse, method: str) -> bytes | None:
-    """Return the whole body; None if it ended with a broken connection."""
-    framed = (
-        method == "HEAD"
-        or answer.status in BODYLESS_STATUSES
-        or answer.content_length is not None
-        or "chunked" in answer.headers.get("Transfer-Encoding", "").lower()
-    )
-    if framed or answer.connection is None:
-        return await answer.read() if framed else None
-    # The end of such a body is the end of the connection, which may be a reset.
-    closed = answer.connection.protocol.closed
-    body = await answer.read()
-    if closed is None or not closed.done() or closed.exception() is not None:
-        return None
-    return body
+    async def _read_whole(self, answer: ClientResponse, method: str) -> bytes | None:
+        """Return the whole body; None if it was broken off or is too large."""
+        framed = (
+            method == "HEAD"
+            or answer.status in BODYLESS_STATUSES
+            or answer.content_length is not None
+            or "chunked" in answer.headers.get("Transfer-Encoding", "").lower()
+        )
+        if framed or answer.connection is None:
+            return await self.answers.read(answer) if framed else None
+        # The end of such a body is the end of the connection, which may be a reset.
+        closed = answer.connection.protocol.closed
+        body = await self.answers.read(answer)
+        if closed is None or not closed.done() or closed.exception() is not None:
+            return None
+        return body
--- a/packages/routing/peridot_routing/attempts.py
+++ b/packages/routing/peridot_routing/attempts.py
@@ -140,17 +140,13 @@
 ) -> Outcome:
     refused = answer.headers.get("Not-Run")
     if refused is not None:
-        await answer.read()
+        await _read_body(answer, request.policy.max_answer_bytes)
         reason = NOT_RUN_REASONS.get(refused, Reason.TARGET_REFUSED)
         return NotRun(reason, MIN_RETRY_AFTER_MS, refused)
     if not _has_known_end(answer, request.method):
         answer.close()
         return Unknown(Reason.TORN_ANSWER, "the answer's end can't be told")
-    limit = request.policy.max_answer_bytes
-    if (answer.content_length or 0) > limit:
-        answer.close()
-        return Unknown(Reason.ANSWER_TOO_LARGE)
-    body = await _read_body(answer, limit)
+    body = await _read_body(answer, request.policy.max_answer_bytes)
     if body is None:
         answer.close()
         return Unknown(Reason.ANSWER_TOO_LARGE)
@@ -159,8 +155,8 @@
 
 async def _read_body(answer: ClientResponse, limit: int) -> bytes | None:
     """Return the whole body, or None if it exceeds the limit."""
-    if answer.content_length is not None:
-        return await answer.read()
+    if (answer.content_length or 0) > limit:
+        return None
     parts = []
     size = 0
     async for part in answer.content.iter_any():
