--- a/packages/fakes/peridot_fakes/relay.py
+++ b/packages/fakes/peridot_fakes/relay.py
@@ -15,11 +15,16 @@
         self.whole = asyncio.Event()
         self.whole.set()
         self.writers: set[asyncio.StreamWriter] = set()
+        self.silent: set[asyncio.StreamWriter] = set()
 
     def cut(self) -> None:
         """Let no more bytes through; connections stay open, as in a partition."""
         self.whole.clear()
 
+    def silence(self) -> None:
+        """Let connections that are open pass nothing more; new ones work."""
+        self.silent |= self.writers
+
     def heal(self) -> None:
         """Break the connections of the partition and let new ones through."""
         for writer in self.writers:
@@ -56,6 +61,7 @@
             pass
         finally:
             self.writers -= pair
+            self.silent -= pair
             writer.transport.abort()
             far_writer.transport.abort()
 
@@ -64,6 +70,8 @@
     ) -> None:
         while data := await reader.read(CHUNK_BYTES):
             await self.whole.wait()
+            if writer in self.silent:
+                continue
             writer.write(data)
             await writer.drain()
         raise ConnectionResetError
--- a/packages/fakes/tests/test_freshness.py
+++ b/packages/fakes/tests/test_freshness.py
@@ -5,6 +5,7 @@
 
 from peridot_fakes.fleet import free_ports
 from peridot_fakes.objectapi import ObjectApi
+from peridot_fakes.relay import Relay
 from peridot_fakes.site import FILES_ROUTE, ORDERS_ROUTE, make_configuration
 from peridot_gateway.sources import ConfigurationSource
 from peridot_placement.decisions import MemoryDecisionLog
@@ -20,12 +21,16 @@
 Scene = Callable[[ObjectApi, PlatformObjectStore, asyncio.TaskGroup], Awaitable[None]]
 
 
-def play(scene: Scene) -> None:
+def play(scene: Scene, before: Relay | None = None) -> None:
+    """Play a scene with a store, perhaps behind a relay."""
+
     async def run():
-        port = free_ports(1)[0]
+        port, relay_port = free_ports(2)
         api = ObjectApi()
-        store = PlatformObjectStore(f"127.0.0.1:{port}")
-        async with api.serve(port):
+        relay = before or Relay(port)
+        relay.port = port
+        store = PlatformObjectStore(f"127.0.0.1:{relay_port}")
+        async with api.serve(port), relay.listen(relay_port):
             try:
                 async with asyncio.TaskGroup() as group:
                     await scene(api, store, group)
@@ -89,3 +94,24 @@
             task.cancel()
 
     play(scene)
+
+
+# Guards against a configuration in force late: after one connection had gone silent,
+# each of the others that were kept was tried in turn.
+def test_one_silent_connection_is_enough_to_leave_all_that_were_open_before_it():
+    relay = Relay(0)
+
+    async def scene(api, store, group):
+        await put(api, 1)
+        source = make_source(store)
+        running = group.create_task(source.run())
+        await wait_for_version(source, 1)
+        # As many as a placer uses at once.
+        await asyncio.gather(*(store.read("config", "main") for _ in range(4)))
+        relay.silence()
+        await put(api, 2)
+        async with asyncio.timeout(SETTLED_S):
+            await wait_for_version(source, 2)
+        running.cancel()
+
+    play(scene, relay)
