--- a/packages/fakes/peridot_fakes/objectapi.py
+++ b/packages/fakes/peridot_fakes/objectapi.py
@@ -12,6 +12,8 @@
 PAGE_ITEMS = 50
 HISTORY = 1_000
 SILENCE_S = 30
+# Slow answers are sent in pieces, so far apart.
+PIECE_S = 0.05
 
 
 @dataclass
@@ -28,6 +30,8 @@
     refused_ports: set[int] = field(default_factory=set)
     # Take calls and never answer them.
     silent: bool = False
+    # Send answers no faster than this.
+    bytes_per_s: int | None = None
     # Let watches that begin now hear nothing, not even when their time is up.
     deaf_watches: bool = False
     # Carry out so many writes without answering them.
@@ -93,13 +97,12 @@
             return await self._watch(kind, request)
         after = request.query.get("after", "")
         names = sorted(n for k, n in self.objects if k == kind and n > after)
-        return _json(
-            {
-                "items": [self.objects[kind, name] for name in names[:PAGE_ITEMS]],
-                "hasMore": len(names) > PAGE_ITEMS,
-                "at": self.revision,
-            }
-        )
+        page = {
+            "items": [self.objects[kind, name] for name in names[:PAGE_ITEMS]],
+            "hasMore": len(names) > PAGE_ITEMS,
+            "at": self.revision,
+        }
+        return await self._send(request, page)
 
     async def _watch(self, kind: str, request: web.Request) -> web.Response:
         if self.deaf_watches:
@@ -122,7 +125,21 @@
             pass
         if (refusal := await self._refusal(request)) is not None:
             return refusal
-        return _json({"events": events(), "at": self.revision})
+        return await self._send(request, {"events": events(), "at": self.revision})
+
+    async def _send(self, request: web.Request, value: object) -> web.StreamResponse:
+        """Answer, as slowly as it is set."""
+        if self.bytes_per_s is None:
+            return _json(value)
+        response = web.StreamResponse()
+        await response.prepare(request)
+        body = orjson.dumps(value)
+        size = int(self.bytes_per_s * PIECE_S)
+        for start in range(0, len(body), size):
+            await response.write(body[start : start + size])
+            await asyncio.sleep(PIECE_S)
+        await response.write_eof()
+        return response
 
     async def _read(self, request: web.Request) -> web.Response:
         if (refusal := await self._refusal(request)) is not None:
--- a/packages/fakes/tests/test_freshness.py
+++ b/packages/fakes/tests/test_freshness.py
@@ -17,6 +17,8 @@
 # How long watches hear nothing before their history is dropped (s).
 DEAF_S = 0.5
 POLL_S = 0.02
+# A configuration of 50 KB takes this long at most over a link of 20 KB a second (s).
+LARGE_S = 6.0
 
 Scene = Callable[[ObjectApi, PlatformObjectStore, asyncio.TaskGroup], Awaitable[None]]
 
@@ -58,6 +60,14 @@
     api.forget_history()
 
 
+async def put_large(api: ObjectApi, version: int) -> None:
+    """Store a configuration of some 50 KB."""
+    routes = [
+        [f"r{i}", *FILES_ROUTE[1:2], f"/{i}/", *FILES_ROUTE[3:]] for i in range(800)
+    ]
+    await api.put("config", "main", make_configuration(version, routes))
+
+
 async def wait_for_version(source: ConfigurationSource, version: int) -> None:
     while source.configuration.version != version:
         await asyncio.sleep(POLL_S)
@@ -115,3 +125,25 @@
         running.cancel()
 
     play(scene, relay)
+
+
+# Guards against a configuration that is never in force: a list or a watch was given up
+# after a fixed time though its answer was arriving.
+def test_a_large_configuration_arrives_over_a_slow_link():
+    async def scene(api, store, group):
+        await put(api, 1)
+        source = make_source(store)
+        running = group.create_task(source.run())
+        await wait_for_version(source, 1)
+        api.bytes_per_s = 20_000
+        await put_large(api, 2)
+        async with asyncio.timeout(LARGE_S):
+            await wait_for_version(source, 2)
+        other = make_source(store)
+        listing = group.create_task(other.run())
+        async with asyncio.timeout(LARGE_S):
+            await wait_for_version(other, 2)
+        for task in (running, listing):
+            task.cancel()
+
+    play(scene)
