Notice a placer's silent view of targets within their drain time

Worked out, not seen: a placer that silently loses the store tells its members no notices until its own watch fails, 1.5 s later, and they ask the store themselves 0.5 s after that: just the 2 s after which no request may reach a leaving target. Watches of targets now last a third of the time to settle or of the drain time, whichever is shorter (0.67 s on the sites). The test fails with the time to settle alone (2.0 s is not below 2.0 s).

--- a/packages/gateway/peridot_gateway/daemon.py
+++ b/packages/gateway/peridot_gateway/daemon.py
@@ -143,8 +143,8 @@
         )
 
     def _set_time_to_settle(self) -> None:
-        for source in (self.configuration, self.targets):
-            source.settle_within(self.settings.settle_s)
+        self.configuration.settle_within(self.settings.settle_s)
+        self.targets.settle_within(self.settings.notice_s)
 
     def _vouched_version(self, place: int) -> int | None:
         versions = self.fleet.vouched_versions()
--- a/packages/gateway/peridot_gateway/settings.py
+++ b/packages/gateway/peridot_gateway/settings.py
@@ -30,6 +30,14 @@
     # New requests must not reach a target this long after its notice to leave (s).
     drain_s: float
 
+    @property
+    def notice_s(self) -> float:
+        """Return how soon views of targets must be current (s).
+
+        A placer that has silently lost the store tells no notices until then.
+        """
+        return min(self.settle_s, self.drain_s)
+
     @property
     def leaving_serves_s(self) -> float:
         """Return for how long a target that leaves is sent new requests (s)."""
