Check configurations and leaving targets in the soak, and let watches hear nothing

Both are checked now where the gateway and the store were calm for 3 s: a request to a route that was added 2 s before gets no 404, and a server that said 2 s before that it leaves answers no new request. Deaf watches with a dropped history are a new fault. Disturbances are counted by part, as the promises hold by part.

--- a/packages/fakes/peridot_fakes/sitesoak.py
+++ b/packages/fakes/peridot_fakes/sitesoak.py
@@ -18,6 +18,7 @@
 from absl import app, flags
 from aiohttp import ClientError
 
+from peridot_fakes.disturbances import STORE, Disturbances
 from peridot_fakes.holdserver import HoldServer
 from peridot_fakes.site import (
     FILES_ROUTE,
@@ -38,6 +39,13 @@
 REGAINED_S = 25.0
 HOT_KEYS = 40
 NOT_RUN_STATUSES = (429, 503)
+# Promises with a time hold where nothing was disturbed for so long (s) ...
+SETTLED_S = 3.0
+# ... for requests sent this long after an acknowledgement (s).
+CONFIG_S = 2.0
+DRAIN_S = 2.0
+# Share of the requests that go to the route that was added last.
+NEW_ROUTE_SHARE = 0.1
 EVENT = re.compile(r"event=(\w+)(?:.* version=(\d+))?")
 
 
@@ -71,6 +79,10 @@
     ended: list[HoldServer] = field(default_factory=list)
     not_run: list[str] = field(default_factory=list)
     orders: list[str] = field(default_factory=list)
+    disturbances: Disturbances = field(default_factory=Disturbances)
+    # When servers said that they leave, and when the last version was stored (s).
+    left_at: dict[str, float] = field(default_factory=dict)
+    changed_at: float = 0.0
 
     async def play(self, seconds: float) -> Verdict:
         """Cause faults for a time (s), heal all, and return the verdict."""
@@ -113,6 +125,9 @@
         key = min(65_535, int(1_000 * self.rng.paretovariate(0.4)) % 65_536)
         if self.rng.random() < 0.5:
             key = 20_000 + self.rng.randrange(HOT_KEYS)
+        sent_at, newest = self.now(), (self.version, self.changed_at)
+        if self.changed_at and method == "GET" and self.rng.random() < NEW_ROUTE_SHARE:
+            path = self.new_route()[2] + path[1:]
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 status, body, headers, attempt = await self.site.send(
@@ -122,6 +137,8 @@
             self.verdict.answers[type(error).__name__] += 1
             return
         self.verdict.answers[status] += 1
+        if self.was_in_touch(gateway, sent_at):
+            self.check_in_time(status, headers, path, sent_at, newest)
         if method == "POST":
             self.orders.append(attempt)
         if status in NOT_RUN_STATUSES:
@@ -131,6 +148,33 @@
         if status == 200 and f" {path} ".encode() not in body + b" ":
             self.verdict.blame("wrong_answers", f"{path}: {body!r}")
 
+    def now(self) -> float:
+        """Return the time (s)."""
+        return asyncio.get_running_loop().time()
+
+    def was_in_touch(self, gateway: str, sent_at: float) -> bool:
+        """Tell whether promises with a time held at a gateway for a request."""
+        return self.disturbances.are_calm_since(sent_at - SETTLED_S, gateway, STORE)
+
+    def check_in_time(
+        self,
+        status: int,
+        headers: dict[str, str],
+        path: str,
+        sent_at: float,
+        newest: tuple[int, float],
+    ) -> None:
+        """Blame answers by an old configuration, or by servers that left."""
+        version, changed_at = newest
+        if status == 404 and sent_at > changed_at + CONFIG_S:
+            note = f"{path} of {version}, {sent_at - changed_at:.2f} s later"
+            self.verdict.blame("configurations_late", note)
+        server = headers.get("X-Upstream-Signature", "")
+        left_at = self.left_at.get(server, sent_at)
+        if sent_at > left_at + DRAIN_S:
+            note = f"{server} {sent_at - left_at:.2f} s after its notice"
+            self.verdict.blame("requests_at_servers_that_left", note)
+
     # Faults.
 
     async def cause_faults(self, ends: float) -> None:
@@ -145,6 +189,7 @@
             self.refuse_some,
             self.lose_answers_of_store,
             self.forget_history,
+            self.deafen_watches,
             self.cut_server,
             self.cut_server,
             self.restart_server,
@@ -172,6 +217,12 @@
         """End gateways that aren't busy with another fault, and start them again."""
         names = tuple(name for name in names if name in self.usable)
         self.usable -= set(names)
+        with self.disturbances.disturb(*names):
+            await self.end_and_start(names, number)
+        self.usable |= set(names)
+
+    async def end_and_start(self, names: tuple[str, ...], number: int) -> None:
+        """End gateways and start them again."""
         for name in names:
             began = asyncio.get_running_loop().time()
             code = await self.site.gateways.end(name, number)
@@ -184,7 +235,6 @@
             # It isn't ready while the store is away; check_regained tells in the end.
             with suppress(TimeoutError):
                 await self.site.gateways.start(name)
-        self.usable |= set(names)
 
     async def pause_gateway(self) -> None:
         """Stop a gateway's process for a while and let it go on."""
@@ -193,37 +243,51 @@
             return
         self.usable.discard(name)
         process = self.site.gateways.processes[name]
-        process.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(self.rng.uniform(0.1, 6.0))
-        process.send_signal(signal.SIGCONT)
+        with self.disturbances.disturb(name):
+            process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(self.rng.uniform(0.1, 6.0))
+            process.send_signal(signal.SIGCONT)
         self.usable.add(name)
 
     async def silence_store(self) -> None:
         """Let the store answer nobody."""
-        self.site.api.silent = True
-        await asyncio.sleep(self.rng.uniform(0.5, 7.0))
-        self.site.api.silent = False
+        with self.disturbances.disturb(STORE):
+            self.site.api.silent = True
+            await asyncio.sleep(self.rng.uniform(0.5, 7.0))
+            self.site.api.silent = False
 
     async def refuse_store(self) -> None:
         """Let the store turn everybody away."""
-        self.site.api.refuse_status = 503
-        await asyncio.sleep(self.rng.uniform(0.5, 7.0))
-        self.site.api.refuse_status = None
+        with self.disturbances.disturb(STORE):
+            self.site.api.refuse_status = 503
+            await asyncio.sleep(self.rng.uniform(0.5, 7.0))
+            self.site.api.refuse_status = None
 
     async def refuse_some(self) -> None:
         """Let the store turn one gateway away."""
         port = self.site.gateways.store_ports[self.rng.choice(GATEWAYS)]
-        self.site.api.refused_ports.add(port)
-        await asyncio.sleep(self.rng.uniform(0.5, 5.0))
-        self.site.api.refused_ports.discard(port)
+        with self.disturbances.disturb(STORE):
+            self.site.api.refused_ports.add(port)
+            await asyncio.sleep(self.rng.uniform(0.5, 5.0))
+            self.site.api.refused_ports.discard(port)
 
     async def lose_answers_of_store(self) -> None:
         """Let some writes take effect that nobody hears of."""
-        self.site.api.lose_answers += self.rng.randint(1, 3)
+        with self.disturbances.disturb(STORE):
+            self.site.api.lose_answers += self.rng.randint(1, 3)
 
     async def forget_history(self) -> None:
         """Let all watches fail."""
-        self.site.api.forget_history()
+        with self.disturbances.disturb(STORE):
+            self.site.api.forget_history()
+
+    async def deafen_watches(self) -> None:
+        """Let watches hear nothing for a while, then drop the history."""
+        with self.disturbances.disturb(STORE):
+            self.site.api.deaf_watches = True
+            await asyncio.sleep(self.rng.uniform(0.3, 4.0))
+            self.site.api.deaf_watches = False
+            self.site.api.forget_history()
 
     async def cut_server(self) -> None:
         """Cut a server off without a reset for a while."""
@@ -243,6 +307,8 @@
         await self.add_server("files")
         server = self.choose_server("files")
         await self.announce(server, "draining")
+        if self.disturbances.are_calm_since(self.now() - SETTLED_S, STORE):
+            self.left_at.setdefault(server.name, self.now())
         await asyncio.sleep(3.0)
         if self.site.servers.pop(server.name, None) is None:
             return
@@ -265,15 +331,22 @@
     async def change_configuration(self) -> None:
         """Put a newer configuration in force."""
         self.version += self.rng.randint(1, 3)
-        routes = [FILES_ROUTE, ORDERS_ROUTE]
+        routes = [FILES_ROUTE, ORDERS_ROUTE, self.new_route()]
         await self.site.api.put(
             "config", "main", make_configuration(self.version, routes)
         )
+        self.changed_at = self.now()
+
+    def new_route(self) -> list:
+        """Return the route that only the newest version has."""
+        name = f"new-{self.version}"
+        return [name, FILES_ROUTE[1], f"/{name}/", *FILES_ROUTE[3:]]
 
     async def heal(self) -> None:
         """End all faults."""
         self.site.api.silent, self.site.api.refuse_status = False, None
         self.site.api.refused_ports.clear()
+        self.site.api.deaf_watches = False
         self.site.api.lose_answers = 0
         for server in self.site.servers.values():
             server.relay.heal()
