Test that the body of a refusal is read to a limit only, in the other mode too

With the earlier code the test fails: the refusal's body is awaited until the deadline, and the caller is told "unknown" where the target said that it didn't run the request.

--- a/packages/routing/tests/test_attempts.py
+++ b/packages/routing/tests/test_attempts.py
@@ -17,6 +17,7 @@
 TORN_CHUNKS = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
 ENDLESS = b"HTTP/1.1 200 OK\r\n\r\nok"
 REFUSAL = b"HTTP/1.1 503 Unavailable\r\nNot-Run: shed\r\nContent-Length: 0\r\n\r\n"
+ENDLESS_REFUSAL = b"HTTP/1.1 503 No\r\nNot-Run: shed\r\n\r\n" + b"x" * 100_000
 LARGE = b"HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n" + b"x" * 5000
 TARGET = Target("t", "s", "", "dc", 3, 8, True, False)
 
@@ -94,6 +95,12 @@
     assert outcome.reason is expected.reason
 
 
+# Guards against memory and time spent on the body of a refusal that never ends.
+def test_the_body_of_a_refusal_is_read_to_a_limit_only():
+    outcome = attempt(RawTarget(ENDLESS_REFUSAL), make_request(1, deadline_s=2.0))
+    assert outcome == NotRun(Reason.SHED, 50, "shed")
+
+
 def test_answer_after_the_deadline_is_unknown_and_reaches_nobody():
     raw = RawTarget(WHOLE, delay_s=0.3)
 
