--- a/packages/fakes/peridot_fakes/sitesoak.py
+++ b/packages/fakes/peridot_fakes/sitesoak.py
@@ -315,6 +315,8 @@
         """Start a server anew under its name: it holds and knows nothing."""
         server = self.choose_server("files")
         server.restart()
+        # It may have been leaving; this life of it isn't.
+        self.left_at.pop(server.name, None)
         await self.announce(server)
 
     async def drain_server(self) -> None:
