Wait for the reported lease of a target that the next placer doesn't know

Cause: when renewals of targets' own entries are lost, an entry lapses while its target lives. If the placer resigns then, its successor has the target's lease from the report, but no address to ask for a release, and waited only for leases that weren't reported (none): the keys had two holders.

Also: grants of an earlier term without an answer were bounded by a short lease where long ones may have been granted (15.6 s instead of 7.9 s); a target may carry out a delayed grant after it accepted one of the new term. So that the wait isn't longer for it, long leases are 6 s now instead of 10 s: they outlast an outage of 9 s (test), and the keys of targets that end in an outage wait 4 s less. The comparison in test_succession asked for a difference of 5 s; it now asks for the exact difference between the two lengths of leases.

--- a/packages/gateway/tests/test_succession.py
+++ b/packages/gateway/tests/test_succession.py
@@ -1,5 +1,7 @@
 """Which leases of its predecessor a new placer assumes."""
 
+from pytest import approx
+
 from peridot_gateway.leading import LEADER_CHECK_PERIOD_S, RESIGN_DELAY_S
 from peridot_gateway.links import HEARTBEAT_TIMEOUT_S
 from peridot_gateway.succession import (
@@ -7,7 +9,13 @@
     ObservedPlacer,
     find_earlier_leases,
 )
-from peridot_ownership.rights import LONG_LEASE_DELAY_S, EarlierLeases
+from peridot_ownership.holds import max_lease_s
+from peridot_ownership.rights import (
+    LEASE_S,
+    LONG_LEASE_DELAY_S,
+    LONG_LEASE_S,
+    EarlierLeases,
+)
 
 HOLD_MAX_S = 10.0
 LEASES = EarlierLeases(0.5, 0.25)
@@ -32,7 +40,10 @@
     assert find_source(predecessor, 6) == "unknown"
     earlier_leases, _ = find_earlier_leases(predecessor, 5, HOLD_MAX_S)
     unknown, _ = find_earlier_leases(None, 5, HOLD_MAX_S)
-    assert earlier_leases.unknown_remaining_s < unknown.unknown_remaining_s - 5
+    shorter_s = max_lease_s(LONG_LEASE_S) - max_lease_s(LEASE_S)
+    assert earlier_leases.unknown_remaining_s == approx(
+        unknown.unknown_remaining_s - shorter_s
+    )
 
 
 def test_long_leases_are_assumed_if_the_placer_may_have_granted_them():
--- a/packages/ownership/peridot_ownership/granter.py
+++ b/packages/ownership/peridot_ownership/granter.py
@@ -23,6 +23,7 @@
     GRANT_TIMEOUT_S,
     LEASE_S,
     LONG_LEASE_DELAY_S,
+    LONG_LEASE_S,
     EarlierLeases,
 )
 from peridot_placement.clock import boot_time
@@ -138,7 +139,7 @@
         )
 
     def _lease_s(self) -> float:
-        """Return the length of a lease (s), the maximum while the store is unavailable.
+        """Return the length of a lease (s), longer while the store is unavailable.
 
         No other daemon can acquire the term then, and no keys can move. A placer that
         alone has lost the store resigns before it grants long leases.
@@ -146,7 +147,9 @@
         record_writer = self.record_writer
         lost_s = boot_time() - record_writer.store_lost_at
         long = record_writer.store_lost and lost_s > LONG_LEASE_DELAY_S
-        return self.hold_max_s if long and self.may_grant_long_leases() else LEASE_S
+        if not long or not self.may_grant_long_leases():
+            return LEASE_S
+        return min(LONG_LEASE_S, self.hold_max_s)
 
     def _resolve_denial(
         self, target: TargetInstance, outcome: CallOutcome
@@ -207,9 +210,10 @@
             self._log_call("release", target, keys, fence, outcome)
         return outcome
 
-    async def wait_for_earlier_leases(self) -> None:
-        """Wait until leases of earlier terms that aren't in the ledger have expired."""
-        await self.wait_until(self.earlier_leases_end)
+    async def wait_for_expiry(self, target: str, keys: KeyRange) -> None:
+        """Wait until all leases that a target may have on keys have expired."""
+        reported_until = self.ledger.held_until(target, keys, boot_time())
+        await self.wait_until(max(reported_until, self.earlier_leases_end))
 
     def revocable_from(self, state: TargetState, keys: KeyRange) -> float:
         """Return from when a release ends all of a target's leases on keys (s).
--- a/packages/ownership/peridot_ownership/placer.py
+++ b/packages/ownership/peridot_ownership/placer.py
@@ -298,7 +298,7 @@
         state = self.target_states.get(source)
         if state is None:
             # Its address is unknown, so it can't be asked to release the keys.
-            await self.lease_manager.wait_for_earlier_leases()
+            await self.lease_manager.wait_for_expiry(source, keys)
             return None
         return await self.lease_manager.revoke(state, keys)
 
--- a/packages/ownership/peridot_ownership/rights.py
+++ b/packages/ownership/peridot_ownership/rights.py
@@ -7,6 +7,9 @@
 # Longer than a change of the placer takes, so that leases survive it; short enough
 # that a dead target's keys are served again soon.
 LEASE_S = 2.5
+# Granted while the store is unavailable, to outlast an outage of 9 s. The keys of
+# targets that end in the outage are unserved for as long.
+LONG_LEASE_S = 6.0
 GRANT_TIMEOUT_S = 0.5
 # A placer that has lost the store grants long leases only after this time. By then it
 # would have resigned if only it had lost the store, and members that can't reach it
@@ -33,7 +36,7 @@
     granting_s: float, long_leases: bool, hold_max_s: float
 ) -> EarlierLeases:
     """Return the bounds if the last placer may grant leases for granting_s more."""
-    sending_s = granting_s + GRANT_TIMEOUT_S
-    unanswered_s = sending_s + max_lease_s(LEASE_S)
-    hold_s = hold_max_s if long_leases else LEASE_S
-    return EarlierLeases(sending_s + max_lease_s(hold_s), unanswered_s)
+    hold_s = min(LONG_LEASE_S, hold_max_s) if long_leases else LEASE_S
+    remaining_s = granting_s + GRANT_TIMEOUT_S + max_lease_s(hold_s)
+    # A grant without an answer may be for a long lease as well.
+    return EarlierLeases(remaining_s, remaining_s)
--- a/packages/ownership/tests/test_placer.py
+++ b/packages/ownership/tests/test_placer.py
@@ -445,6 +445,12 @@
     assert long_leases_s + RENEWAL_PERIOD_S < CONFIRMATION_TIMEOUT_S
 
 
+def test_long_leases_outlast_an_outage_of_the_store():
+    """Each target is renewed within a period before the placer stops granting."""
+    last_renewal_s = CONFIRMATION_TIMEOUT_S - RENEWAL_PERIOD_S
+    assert last_renewal_s + rights_module.LONG_LEASE_S - HEARTBEAT_PERIOD_S >= 9.0
+
+
 def test_a_balancing_move_is_not_postponed_without_reason():
     """Guards against comparing an expiry with a clock reading older than its own.
 
@@ -504,3 +510,37 @@
         assert not harness.lease_client.violations
 
     run(check())
+
+
+def test_the_reported_lease_of_a_target_that_vanished_bounds_the_next_placer():
+    """Pattern: renewals of entries are lost, so a target's entry lapses while it lives.
+
+    The successor of a placer that resigned then doesn't know the target's address. It
+    gave the keys away before the reported lease had expired.
+    """
+
+    async def check():
+        harness = PlacerHarness("a b")
+        async with harness.run_placer("vm1") as first:
+            await wait_until(first, lambda: harness.owners(first) == {"a", "b"})
+            first.record_writer.end_term(TermLost("resigned"))
+            earlier_leases = first.lease_manager.export_leases()
+        harness.view.targets = [t for t in harness.view.targets if t.name != "a"]
+        async with harness.run_placer("vm2", earlier_leases) as second:
+            limit_s = LEASE_S * 4
+            await wait_until(second, lambda: harness.owners(second) == {"b"}, limit_s)
+            await asyncio.sleep(RENEWAL_PERIOD_S)
+        assert not harness.lease_client.violations
+
+    run(check())
+
+
+def test_unanswered_grants_of_long_leases_are_expected_if_some_may_have_been_granted():
+    """A delayed grant may take effect after the target accepted one of this term.
+
+    While the store is unavailable that may be a long lease.
+    """
+    long = bound_earlier_leases(CONFIRMATION_TIMEOUT_S, True, 10.0)
+    assert long.unanswered_remaining_s == long.unknown_remaining_s
+    short = bound_earlier_leases(CONFIRMATION_TIMEOUT_S, False, 10.0)
+    assert short.unanswered_remaining_s < long.unanswered_remaining_s
