Keep one owner of each key when the store is restored from a copy

Cause: a store that comes back from a copy some seconds old issues revisions, and so terms and fencing tokens, a second time. Versions of two eras were compared as if they were of one; a record that lacked the last moves was granted from at once; a report of a resignation counted although a later term was lost; and a target that had left was used again.

The model of ownership has restores, resignations whose report is used, and targets that vanish from the view while they live.

--- a/packages/fakes/peridot_fakes/objectapi.py
+++ b/packages/fakes/peridot_fakes/objectapi.py
@@ -1,6 +1,7 @@
 """Stand-in for the object API of the gateway mode's platform, with faults."""
 
 import asyncio
+import copy
 from collections import deque
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -38,6 +39,8 @@
     # Let the next so many writes take effect, but don't respond to them.
     lose_answers: int = 0
     calls: int = 0
+    # Number of restores from a copy; a header of all responses once there was one.
+    era: int = 0
 
     @asynccontextmanager
     async def serve(self, port: int) -> AsyncIterator[None]:
@@ -48,6 +51,7 @@
         app.router.add_get("/-/objects/{kind}/{name}", self._read)
         app.router.add_put("/-/objects/{kind}/{name}", self._replace)
         app.router.add_delete("/-/objects/{kind}/{name}", self._delete)
+        app.on_response_prepare.append(self._add_era)
         runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
         await runner.setup()
         try:
@@ -79,6 +83,24 @@
         item["metadata"]["revision"] = self.revision
         await self._record(kind, True, item)
 
+    def take_copy(self) -> tuple[int, dict[tuple[str, str], dict]]:
+        """Return a copy from which the store can be restored: revision and objects."""
+        return self.revision, copy.deepcopy(self.objects)
+
+    async def restore(self, saved: tuple[int, dict[tuple[str, str], dict]]) -> None:
+        """Begin a new era with the objects of a copy; revisions go back to its own."""
+        self.era += 1
+        self.revision, self.objects = saved[0], copy.deepcopy(saved[1])
+        self.history.clear()
+        async with self.changed:
+            self.changed.notify_all()
+
+    async def _add_era(
+        self, request: web.BaseRequest, response: web.StreamResponse
+    ) -> None:
+        if self.era:
+            response.headers["Store-Era"] = str(self.era)
+
     def drop_history(self) -> None:
         """Drop the history, so that watches from earlier revisions fail (410)."""
         self.history.clear()
@@ -110,7 +132,7 @@
             await asyncio.sleep(HANG_S)
         since = int(request.query["watch"])
         oldest = self.history[0][0] if self.history else self.revision + 1
-        if since < oldest - 1 and since < self.revision:
+        if (since < oldest - 1 and since < self.revision) or since > self.revision:
             return web.Response(status=410)
 
         def events() -> list[dict]:
--- a/packages/fakes/tests/test_adapter.py
+++ b/packages/fakes/tests/test_adapter.py
@@ -192,6 +192,45 @@
     run_with_store(scenario)
 
 
+def test_versions_rise_when_the_store_is_restored_from_a_copy():
+    """Revisions are issued again; a version of an earlier era never passes a check."""
+
+    async def scenario(api, store):
+        first = await store.write("k", "n", b'{"a":1}', 0)
+        saved = api.take_copy()
+        lost = await store.write("k", "n", b'{"a":2}', first.version)
+        await api.restore(saved)
+        found = await store.read("k", "n")
+        assert found.value == b'{"a":1}' and found.version > lost.version
+        again = await store.write("k", "n", b'{"a":3}', found.version)
+        assert again.version > found.version
+        late = await store.write("k", "n", b'{"a":4}', lost.version)
+        assert isinstance(late, Conflict)
+        assert isinstance(await store.watch(["k"], lost.version, 0.2), RevisionTooOld)
+        listing = await store.list(["k"])
+        assert listing.revision == again.version
+        assert await store.read("k", "other") == Missing(era=1)
+
+    run_with_store(scenario)
+
+
+def test_a_watch_that_a_restore_ends_asks_for_a_new_list():
+    """The revision may have been given out again, with other changes behind it."""
+
+    async def scenario(api, store):
+        await api.put("servers", "a", {"n": 1})
+        saved = api.take_copy()
+        await api.put("servers", "b", {"n": 2})
+        watch = asyncio.create_task(store.watch(["servers"], 2, 2.0))
+        await asyncio.sleep(0.1)
+        await api.restore(saved)
+        await api.put("servers", "c", {"n": 3})
+        await api.put("servers", "d", {"n": 4})
+        assert isinstance(await watch, RevisionTooOld)
+
+    run_with_store(scenario)
+
+
 def test_malformed_settings_files_are_refused(tmp_path):
     path = tmp_path / "node.json"
     for text in ("", "{", "{}", "[]"):
--- a/packages/gateway/peridot_gateway/daemon.py
+++ b/packages/gateway/peridot_gateway/daemon.py
@@ -137,6 +137,7 @@
                 settings.hold_max_s,
                 settings.leaving_grace_s,
                 lambda: self.configuration.reachable,
+                settings.first_start,
             ),
         )
         self.configuration.get_confirmed_version = lambda: self._confirmed_version(0)
--- a/packages/gateway/peridot_gateway/fleet.py
+++ b/packages/gateway/peridot_gateway/fleet.py
@@ -59,6 +59,8 @@
     hold_max_s: float
     leaving_grace_s: float
     store_reachable: Callable[[], bool]
+    # Whether all VMs start for the first time.
+    first_start: bool = False
 
 
 @dataclass
@@ -276,8 +278,16 @@
         return 0.0 if record_is_stale else None
 
     async def _acquire_term(self, found: StoredObject | Missing) -> None:
+        # A record that was seen before and is gone was deleted, or lost in a restore.
+        seen = self.observed_record.version >= 0 or self.parts.owners.term > 0
+        era_is_first = isinstance(found, Missing) and found.era == 0
         record_writer = await acquire_term(
-            self.parts.store, self.local_instance, found, self.parts.log
+            self.parts.store,
+            self.local_instance,
+            found,
+            self.parts.log,
+            may_be_first=not seen and (self.parts.first_start or era_is_first),
+            known_term=self.parts.owners.term,
         )
         if record_writer is not None:
             await self._lead(record_writer)
@@ -291,16 +301,16 @@
             parts.load,
             parts.log,
             parts.hold_max_s,
-            self._find_earlier_leases(record_writer.record.term),
+            self._find_earlier_leases(record_writer),
             self.leader.has_majority,
             parts.leaving_grace_s,
         )
         await self.leader.lead(placer)
 
-    def _find_earlier_leases(self, term: int) -> EarlierLeases:
-        predecessor = self.follower.observed_placer
+    def _find_earlier_leases(self, record_writer: RecordWriter) -> EarlierLeases:
+        predecessor, term = self.follower.observed_placer, record_writer.record.term
         earlier_leases, how = find_earlier_leases(
-            predecessor, term, self.parts.hold_max_s
+            predecessor, record_writer, self.parts.hold_max_s
         )
         self.parts.log.write(
             "earlier_rights",
--- a/packages/gateway/peridot_gateway/followers.py
+++ b/packages/gateway/peridot_gateway/followers.py
@@ -48,6 +48,7 @@
     PUSHED = auto()
     UNCONFIRMED = auto()
     BEHIND = auto()
+    LIST_DUE = auto()
 
 
 class ObjectWatcher(ABC):
@@ -137,7 +138,10 @@
         self.watch_started_at = monotonic()
         outcome = await self._wait_for_changes()
         if isinstance(outcome, WatchInterruption):
-            return outcome is not WatchInterruption.BEHIND
+            return outcome not in (
+                WatchInterruption.BEHIND,
+                WatchInterruption.LIST_DUE,
+            )
         if isinstance(outcome, RevisionTooOld):
             self._log_watch("history_gone")
             return False
@@ -182,6 +186,10 @@
             else CONFIRMED_WATCH_TIMEOUT_S
         )
 
+    def needs_list(self) -> bool:
+        """Return whether the objects must be listed again although none changed."""
+        return False
+
     def receives_pushes(self) -> bool:
         """Return whether the placer pushes all changes, so that no watch is needed."""
         return False
@@ -201,6 +209,8 @@
                 return watch.result()
             if self.receives_pushes():
                 return WatchInterruption.PUSHED
+            if self.needs_list():
+                return WatchInterruption.LIST_DUE
             now = monotonic()
             if self.get_confirmed_version() is None:
                 behind_since = None
--- a/packages/gateway/peridot_gateway/settings.py
+++ b/packages/gateway/peridot_gateway/settings.py
@@ -29,6 +29,8 @@
     settle_s: float
     # No new request may reach a target this long after its notice to leave (s).
     drain_s: float
+    # Whether the whole system starts for the first time.
+    first_start: bool = False
 
     @property
     def target_recovery_s(self) -> float:
--- a/packages/gateway/peridot_gateway/succession.py
+++ b/packages/gateway/peridot_gateway/succession.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass
 
-from peridot_ownership.recorder import CONFIRMATION_TIMEOUT_S
+from peridot_ownership.record import Certainty
+from peridot_ownership.recorder import CONFIRMATION_TIMEOUT_S, RecordWriter
 from peridot_ownership.rights import (
     LONG_LEASE_DELAY_S,
     NO_EARLIER_LEASES,
@@ -43,10 +44,15 @@
 
 
 def find_earlier_leases(
-    predecessor: ObservedPlacer | None, term: int, hold_max_s: float
+    predecessor: ObservedPlacer | None, record_writer: RecordWriter, hold_max_s: float
 ) -> tuple[EarlierLeases, str]:
     """Return a bound of the leases of earlier terms, and how it is known."""
-    if term == 1:
+    record, term = record_writer.record, record_writer.record.term
+    unknown = bound_earlier_leases(CONFIRMATION_TIMEOUT_S, True, hold_max_s)
+    if record.certainty is not Certainty.CERTAIN:
+        # Terms may be lost, so no report covers all leases.
+        return unknown, "restored"
+    if record_writer.is_first:
         return NO_EARLIER_LEASES, "first"
     if predecessor is not None and predecessor.term == term - 1:
         if predecessor.resigned is not None:
@@ -55,4 +61,4 @@
             return bound_earlier_leases(
                 CONFIRMATION_TIMEOUT_S, False, hold_max_s
             ), "missed"
-    return bound_earlier_leases(CONFIRMATION_TIMEOUT_S, True, hold_max_s), "unknown"
+    return unknown, "unknown"
--- a/packages/gateway/peridot_gateway/targets.py
+++ b/packages/gateway/peridot_gateway/targets.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from collections.abc import Iterable, Mapping
+from dataclasses import replace
 from time import monotonic
 from types import MappingProxyType
 
@@ -9,6 +10,7 @@
 from peridot_gateway.followers import ObjectWatcher
 from peridot_objects.objects import ObjectStore
 from peridot_objects.outcomes import Change, DeletedObject, StoredObject
+from peridot_objects.versions import version_era
 from peridot_placement.decisions import DecisionLog
 from peridot_resources.configuration import TargetInstance
 
@@ -16,6 +18,9 @@
 BATCH_DELAY_S = 0.3
 # Members that missed more changes than this are sent the list of all targets.
 MAX_RECENT_CHANGES = 1_000
+# After a restore of the store, targets write their entries again within about 2 s, and
+# the store drops those of targets that are gone after three heartbeats.
+RESTORE_GRACE_S = 4.0
 NONE_LEAVING: Mapping[str, float] = MappingProxyType({})
 
 
@@ -32,6 +37,9 @@
         # Stored entries, invalid ones included, and versions of removed ones, by name.
         self.entries: dict[str, StoredObject] = {}
         self.removed_versions: dict[str, int] = {}
+        # Era of the store, and until when (s) its entries may be missing or outdated.
+        self.era = 0
+        self.restored_until: float | None = None
         # The last changes, for members, and the number of all changes so far.
         self.recent_changes: deque[Change] = deque(maxlen=MAX_RECENT_CHANGES)
         self.change_count = 0
@@ -105,16 +113,39 @@
 
     # Applying changes.
 
+    def needs_list(self) -> bool:
+        return self.restored_until is not None and not self._is_restoring()
+
     def replace_all(self, objects: tuple[StoredObject, ...], revision: int) -> None:
+        self._notice_restore(revision)
+        if self.needs_list():
+            self.restored_until = None
         listed = {item.name for item in objects}
         for name in set(self.entries) - listed:
+            if self._is_restoring():
+                # It is written again if the target lives; the next list shows it.
+                continue
             if self.entries[name].version <= revision:
                 self._remove_entry(DeletedObject(self.kind, name, revision))
         for item in objects:
             self._store_entry(item)
         self._rebuild_index()
 
+    def _notice_restore(self, version: int) -> None:
+        """Keep what is known for a while if a version is of a new era of the store."""
+        era = version_era(version)
+        if era <= self.era:
+            return
+        if self.loaded:
+            self.restored_until = monotonic() + RESTORE_GRACE_S
+            self.log.write("store_restored", kind=self.kind, era=era, before=self.era)
+        self.era = era
+
+    def _is_restoring(self) -> bool:
+        return self.restored_until is not None and monotonic() < self.restored_until
+
     def apply(self, change: Change) -> None:
+        self._notice_restore(change.version)
         if isinstance(change, DeletedObject):
             self._remove_entry(change)
         else:
@@ -127,6 +158,13 @@
         if item.version <= version:
             # Pushed and watched changes may arrive out of order.
             return
+        if (
+            self._is_restoring()
+            and item.name in self.removed_versions
+            and not self.push_active
+        ):
+            # The copy is older than the removal; the next list shows if it was undone.
+            return
         self.entries[item.name] = item
         self.removed_versions.pop(item.name, None)
         self._record_change(item)
@@ -137,8 +175,10 @@
             self.targets.pop(item.name, None)
             self.leaving_since.pop(item.name, None)
             return
-        self._track_leaving(target)
         previous = self.targets.get(item.name)
+        if previous is not None and self._is_restoring():
+            target = keep_leaving(previous, target)
+        self._track_leaving(target)
         self.targets[item.name] = target
         if previous is None or (previous.leaving, previous.started_ms) != (
             target.leaving,
@@ -183,3 +223,10 @@
         for target in self.targets.values():
             by_service.setdefault(target.service, []).append(target)
         self.by_service = by_service
+
+
+def keep_leaving(previous: TargetInstance, restored: TargetInstance) -> TargetInstance:
+    """Return a restored target, leaving if the same incarnation was known to leave."""
+    if restored.started_ms != previous.started_ms or not previous.leaving:
+        return restored
+    return replace(restored, leaving=True)
--- a/packages/gateway/tests/test_targets.py
+++ b/packages/gateway/tests/test_targets.py
@@ -1,12 +1,14 @@
 """Targets pushed by the placer and read from the store."""
 
 import asyncio
+import time
 
 from peridot_gateway import followers as followers_module, targets as targets_module
 from peridot_gateway.messages import serialize_entry
 from peridot_gateway.targets import TargetSource
 from peridot_objects.objects import MemoryObjectStore
 from peridot_objects.outcomes import DeletedObject, StoredObject
+from peridot_objects.versions import compose_version
 from peridot_placement.decisions import MemoryDecisionLog
 from peridot_resources.configuration import TargetInstance
 
@@ -161,3 +163,80 @@
         source.apply(entry("p", 5, b"leaving"))
         source.apply(last)
         assert source.leaving_for_s("p") == 0.0
+
+
+class RestoredView:
+    """A source that knew targets before a restore of the store, and its copy."""
+
+    def __init__(self, monkeypatch, grace_s: float = 0.1) -> None:
+        monkeypatch.setattr(targets_module, "RESTORE_GRACE_S", grace_s)
+        self.source = make_source()
+
+    def list(self, era: int, written_at: int, **values: bytes) -> None:
+        version = compose_version(era, written_at)
+        objects = tuple(entry(name, version, value) for name, value in values.items())
+        self.source.replace_all(objects, version + 1)
+        self.source.loaded = True
+
+    def usable(self) -> set[str]:
+        targets = self.source.targets.values()
+        return {target.name for target in targets if not target.leaving}
+
+
+def test_a_target_that_the_restored_copy_lacks_stays_until_it_is_written_again(
+    monkeypatch,
+):
+    """Pattern: it registered in the seconds that the store has lost, and serves."""
+    view = RestoredView(monkeypatch)
+    view.list(0, 9, p=b"x", q=b"x")
+    view.list(1, 5, p=b"x")
+    assert view.usable() == {"p", "q"} and not view.source.needs_list()
+    time.sleep(0.11)
+    assert view.source.needs_list()
+    view.list(1, 5, p=b"x")
+    assert view.usable() == {"p"} and not view.source.needs_list()
+
+
+def test_a_target_that_has_left_is_not_used_again_after_a_restore(monkeypatch):
+    """Pattern: the copy is older than the notice to leave, or than the removal."""
+    view = RestoredView(monkeypatch)
+    view.list(0, 7, p=b"x", q=b"x", r=b"x")
+    view.list(0, 9, p=b"x", q=b"leaving")
+    view.list(1, 5, p=b"x", q=b"x", r=b"x")
+    assert view.usable() == {"p"}
+    assert view.source.leaving_for_s("q") > 0
+    time.sleep(0.11)
+    view.list(1, 5, p=b"x", q=b"x", r=b"x")
+    # Its entry would be gone by now if the target were.
+    assert view.usable() == {"p", "r"}
+
+
+def test_members_keep_leaving_targets_when_the_placer_pushes_restored_entries(
+    monkeypatch,
+):
+    monkeypatch.setattr(targets_module, "RESTORE_GRACE_S", 0.1)
+    member = make_source()
+    member.apply_pushed([entry("p", 3), entry("q", 4, b"leaving")], True, 4)
+    restored = [
+        entry(name, compose_version(1, number)) for name, number in (("p", 2), ("q", 1))
+    ]
+    member.apply_pushed(restored, False, compose_version(1, 2))
+    assert not member.targets["p"].leaving
+    assert member.targets["q"].leaving
+
+
+def test_a_restored_store_is_listed_again_after_the_grace_time(monkeypatch):
+    monkeypatch.setattr(targets_module, "RESTORE_GRACE_S", 0.05)
+    monkeypatch.setattr(followers_module, "CONFIRMATION_CHECK_PERIOD_S", 0.01)
+
+    async def change(store, source):
+        copy = store.take_copy()
+        await store.write(KIND, "q", b"x", None)
+        await asyncio.sleep(0.02)
+        await store.restore(copy)
+        await asyncio.sleep(0.02)
+        assert set(source.targets) == {"p", "q"}
+        await asyncio.sleep(0.1)
+
+    source = run_source_while(change)
+    assert set(source.targets) == {"p"}
--- a/packages/objects/peridot_objects/objects.py
+++ b/packages/objects/peridot_objects/objects.py
@@ -4,6 +4,7 @@
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Collection
+from dataclasses import dataclass, replace
 
 from peridot_objects.outcomes import (
     Change,
@@ -23,6 +24,11 @@
     WriteUnknown,
     Written,
 )
+from peridot_objects.versions import (
+    compose_version,
+    version_era,
+    version_revision,
+)
 
 MAX_VALUE_BYTES = 1_000_000
 # Changes kept for watches.
@@ -60,6 +66,14 @@
         """Return the changes after a revision, or an empty batch on timeout."""
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """The objects of a store at a revision."""
+
+    revision: int
+    objects: dict[tuple[str, str], StoredObject]
+
+
 class MemoryObjectStore(ObjectStore):
     """An object store in memory, with faults that tests can inject."""
 
@@ -85,7 +99,8 @@
         self.reads += 1
         if not await self._is_reachable():
             return StoreUnavailable("outage")
-        return self.objects.get((kind, name), Missing())
+        missing = Missing(version_era(self.revision))
+        return self.objects.get((kind, name), missing)
 
     async def write(
         self, kind: str, name: str, value: bytes, expected: int | None
@@ -96,7 +111,10 @@
         if len(value) > MAX_VALUE_BYTES:
             return Rejected(f"value has {len(value)} bytes, over {MAX_VALUE_BYTES}")
         current = self._version(kind, name)
-        if expected is not None and expected != current:
+        # Only revisions are compared, as by a store that is told no era.
+        if expected is not None and version_revision(expected) != version_revision(
+            current
+        ):
             return Conflict(current)
         self.revision += 1
         stored = StoredObject(kind, name, self.revision, value)
@@ -132,19 +150,44 @@
 
         try:
             async with asyncio.timeout(timeout_s), self.changed:
-                await self.changed.wait_for(lambda: changes() or self.outage)
+                await self.changed.wait_for(
+                    lambda: changes() or self.outage or self._is_restored_since(since)
+                )
         except TimeoutError:
             pass
         if self.outage:
             return StoreUnavailable("outage")
+        if self._is_restored_since(since):
+            return RevisionTooOld()
         return WatchBatch(self.revision, changes())
 
+    def take_copy(self) -> StoreCopy:
+        """Return a copy from which the store can be restored."""
+        return StoreCopy(version_revision(self.revision), dict(self.objects))
+
+    async def restore(self, copy: StoreCopy) -> None:
+        """Begin a new era with the objects of a copy; revisions go back to its own."""
+        era = version_era(self.revision) + 1
+        self.revision = compose_version(era, copy.revision)
+        self.objects = {
+            key: replace(
+                item, version=compose_version(era, version_revision(item.version))
+            )
+            for key, item in copy.objects.items()
+        }
+        self.history.clear()
+        async with self.changed:
+            self.changed.notify_all()
+
     async def set_outage(self, outage: bool) -> None:
         """Start or end an outage; its start fails the watches that wait."""
         self.outage = outage
         async with self.changed:
             self.changed.notify_all()
 
+    def _is_restored_since(self, version: int) -> bool:
+        return version_era(version) != version_era(self.revision)
+
     def _version(self, kind: str, name: str) -> int:
         current = self.objects.get((kind, name))
         return current.version if current else 0
--- a/packages/objects/peridot_objects/outcomes.py
+++ b/packages/objects/peridot_objects/outcomes.py
@@ -5,7 +5,10 @@
 
 @dataclass(frozen=True)
 class StoredObject:
-    """An object with its JSON value; its version is the revision that wrote it."""
+    """An object with its JSON value; its version is the revision that wrote it.
+
+    Versions rise with each change, also when the store is restored from a backup.
+    """
 
     kind: str
     name: str
@@ -43,12 +46,14 @@
 
 @dataclass(frozen=True)
 class RevisionTooOld:
-    """The history no longer reaches back to the revision: list again."""
+    """The history doesn't reach back to the revision, or was restored: list again."""
 
 
 @dataclass(frozen=True)
 class Missing:
-    """No such object is stored."""
+    """No such object is stored, in the store's present era."""
+
+    era: int = 0
 
 
 @dataclass(frozen=True)
--- a/packages/ownership/peridot_ownership/granter.py
+++ b/packages/ownership/peridot_ownership/granter.py
@@ -18,6 +18,7 @@
     Unreached,
 )
 from peridot_ownership.ranges import KeyRange
+from peridot_ownership.record import FENCES_PER_TERM, Certainty
 from peridot_ownership.recorder import RecordWriter
 from peridot_ownership.rights import (
     GRANT_TIMEOUT_S,
@@ -94,6 +95,11 @@
         # When leases from unanswered grants of earlier terms have expired (s). A target
         # that has accepted a grant of this term can have no others of earlier terms.
         self.unanswered_grants_end = now + earlier_leases.unanswered_remaining_s
+        # Until when (s) any target may have a lease on any keys, after a restore of the
+        # store: another placer's term may have been lost.
+        self.lost_leases_end = (
+            self.earlier_leases_end if self._is_record_uncertain() else now
+        )
         for target, lease in earlier_leases.leases:
             self.ledger.add(target, lease)
 
@@ -118,7 +124,8 @@
         self.ledger.record_outcome(target.name, lease, outcome, grant, now)
         self._record_reachability(state, outcome, now)
         if isinstance(outcome, Granted):
-            state.record_accepted(keys)
+            if fence >= self.record_writer.record.term * FENCES_PER_TERM:
+                state.record_accepted(keys)
         elif isinstance(outcome, Replaced):
             self.ledger.remove_target(target.name)
         if not isinstance(outcome, Granted) or handover is not None:
@@ -196,6 +203,7 @@
                 return outcome.handover
             if isinstance(outcome, Replaced):
                 self.ledger.remove_target(state.target.name)
+                await self.wait_for_lost_leases()
                 return None
             await asyncio.sleep(RETRY_PAUSE_S)
         return None
@@ -210,6 +218,28 @@
             self._log_call("release", target, keys, fence, outcome)
         return outcome
 
+    def expect_lost_leases(self, earlier_leases: EarlierLeases) -> None:
+        """Expect leases from a term that the store lost when it was restored."""
+        now = boot_time()
+        remaining_s = earlier_leases.unknown_remaining_s
+        self.lost_leases_end = now + remaining_s
+        self.earlier_leases_end = max(self.earlier_leases_end, self.lost_leases_end)
+        self.unanswered_grants_end = max(
+            self.unanswered_grants_end, now + earlier_leases.unanswered_remaining_s
+        )
+
+    async def wait_for_lost_leases(self) -> None:
+        """Wait until leases of terms that the store has lost have expired."""
+        while (remaining_s := self.lost_leases_end - boot_time()) > 0:
+            # Another restore may extend the time meanwhile.
+            await asyncio.sleep(remaining_s)
+        if self._is_record_uncertain():
+            self.record_writer.record.certainty = Certainty.CERTAIN
+            self.log.write("record_certain", term=self.record_writer.record.term)
+
+    def _is_record_uncertain(self) -> bool:
+        return self.record_writer.record.certainty is not Certainty.CERTAIN
+
     async def wait_for_expiry(self, target: str, keys: KeyRange) -> None:
         """Wait until all leases that a target may have on keys have expired."""
         reported_until = self.ledger.held_until(target, keys, boot_time())
--- a/packages/ownership/peridot_ownership/placer.py
+++ b/packages/ownership/peridot_ownership/placer.py
@@ -9,10 +9,10 @@
 from peridot_ownership.granter import LeaseManager, TargetState
 from peridot_ownership.holds import Granted, Outranked, Replaced, TargetLeaseClient
 from peridot_ownership.planner import PlanInput, RangeMove, measure_balance, plan_moves
-from peridot_ownership.ranges import ALL_KEYS, KeyRange, OwnedRange, RangeTable
-from peridot_ownership.record import PlacementRecord
-from peridot_ownership.recorder import RecordWriter
-from peridot_ownership.rights import EarlierLeases
+from peridot_ownership.ranges import KeyRange, OwnedRange, RangeTable
+from peridot_ownership.record import Certainty, PlacementRecord
+from peridot_ownership.recorder import CONFIRMATION_TIMEOUT_S, RecordWriter
+from peridot_ownership.rights import EarlierLeases, bound_earlier_leases
 from peridot_ownership.view import FleetView
 from peridot_placement.clock import boot_time
 from peridot_placement.decisions import DecisionLog
@@ -62,6 +62,8 @@
             may_grant_long_leases,
             view.is_address_reused,
         )
+        self.hold_max_s = hold_max_s
+        record_writer.handle_restore = self._expect_lost_term
         self.target_states: dict[str, TargetState] = {}
         self.moving: dict[str, list[KeyRange]] = {}
         self.tasks: set[asyncio.Task] = set()
@@ -135,6 +137,10 @@
     # Plans.
 
     async def _plan_periodically(self) -> None:
+        if self.record.certainty is Certainty.OWNERS_UNCERTAIN:
+            await self.lease_manager.wait_for_lost_leases()
+        else:
+            self._spawn(self.lease_manager.wait_for_lost_leases)
         while True:
             self._update_targets()
             if self.record_writer.is_confirmed() and not self.record_writer.store_lost:
@@ -149,9 +155,6 @@
                 state = self.target_states.get(target.name)
                 if state is None:
                     state = TargetState(target)
-                    if self.record.term == 1:
-                        # There are no leases of earlier terms.
-                        state.record_accepted(ALL_KEYS)
                     self.target_states[target.name] = state
                     state.task = self._spawn(
                         partial(self._renew_periodically, target.name)
@@ -256,11 +259,17 @@
             handover = None
             if move.source is not None and move.source != move.destination:
                 handover = await self._revoke(move.source, move.keys)
+            else:
+                await self.lease_manager.wait_for_lost_leases()
             revoked_at = boot_time()
             fence = self.record.next_fence()
             self.record.tables[service].assign(move.keys, move.destination, fence)
             await self.record_writer.write()
             stored_at = boot_time()
+            if self.record_writer.restored_at > started_at:
+                # The old owner may have got a lease again from a term that was lost.
+                await self.lease_manager.wait_for_lost_leases()
+                fence = self.record.tables[service].find(move.keys.start).fence
             await self._grant_to_new_owner(move, fence, handover)
         self._log_moved(service, move, (started_at, revoked_at, stored_at, boot_time()))
         self.moves += 1
@@ -338,6 +347,16 @@
         whole = KeyRange(adjacent[0].keys.start, adjacent[-1].keys.end)
         table.assign(whole, adjacent[0].owner, self.record.next_fence())
 
+    def _expect_lost_term(self) -> None:
+        """Expect that the restored store has lost a term of another placer."""
+        for state in self.target_states.values():
+            state.accepted_ranges.clear()
+        self.lease_manager.expect_lost_leases(
+            bound_earlier_leases(CONFIRMATION_TIMEOUT_S, True, self.hold_max_s)
+        )
+        self._spawn(self.lease_manager.wait_for_lost_leases)
+        self._notify_change()
+
     def _notify_change(self) -> None:
         self.sequence += 1
         self.changed.notify()
--- a/packages/ownership/peridot_ownership/record.py
+++ b/packages/ownership/peridot_ownership/record.py
@@ -1,6 +1,7 @@
 """The stored placement record (gateway mode): placer, term and owners of all keys."""
 
 from dataclasses import dataclass, field
+from enum import IntEnum
 
 import orjson
 
@@ -12,6 +13,9 @@
 # The fencing tokens of a term start at the term times this, so that they rise from term
 # to term and within a term.
 FENCES_PER_TERM = 1 << 24
+# The terms of an era of the store start at the era times this: a record of an earlier
+# era may have lost terms, whose numbers must not be issued again.
+TERMS_PER_ERA = 1 << 18
 
 
 @dataclass(frozen=True)
@@ -23,6 +27,20 @@
     address: str
 
 
+class Certainty(IntEnum):
+    """What is known of the owners and leases in a record after a restore of the store.
+
+    The store may have lost a term, whose leases run until a bound has passed.
+    """
+
+    CERTAIN = 0
+    # The owners are known, but a lost term may have granted leases on their keys, and
+    # on unowned ones.
+    LEASES_UNCERTAIN = 1
+    # A lost term may have moved keys to other owners.
+    OWNERS_UNCERTAIN = 2
+
+
 @dataclass
 class PlacementRecord:
     """What a placer needs to take over after any failure."""
@@ -34,6 +52,7 @@
     heartbeat: int = 0
     last_fence: int = 0
     tables: dict[str, RangeTable] = field(default_factory=dict)
+    certainty: Certainty = Certainty.CERTAIN
 
     def next_fence(self) -> int:
         """Return a fencing token above all that were issued before."""
@@ -42,13 +61,21 @@
 
 
 def next_term_record(
-    found: PlacementRecord | None, holder: DaemonInstance
+    found: PlacementRecord | None,
+    holder: DaemonInstance,
+    era: int = 0,
+    known_term: int = 0,
 ) -> PlacementRecord:
-    """Return the next term's record: same owners, higher fencing tokens."""
-    if found is None:
-        return PlacementRecord(1, holder)
-    record = PlacementRecord(found.term + 1, holder)
-    for service, table in found.tables.items():
+    """Return the next term's record in an era: same owners, higher fencing tokens.
+
+    Its term is above a known one, which the store may have lost.
+    """
+    found_term = found.term if found is not None else 0
+    last_term = max(found_term, known_term, era * TERMS_PER_ERA)
+    record = PlacementRecord(last_term + 1, holder)
+    if found is not None:
+        record.certainty = found.certainty
+    for service, table in found.tables.items() if found is not None else ():
         record.tables[service] = RangeTable(
             [
                 OwnedRange(item.keys, item.owner, record.next_fence())
@@ -58,6 +85,14 @@
     return record
 
 
+def precedes_restore(record: PlacementRecord, era: int) -> bool:
+    """Return whether a record is from before the restore that began an era.
+
+    Later records may be lost, and so their owners unknown.
+    """
+    return record.term < era * TERMS_PER_ERA
+
+
 def serialize_record(record: PlacementRecord) -> bytes:
     """Return a record as JSON."""
     holder = record.holder
@@ -69,6 +104,7 @@
             "address": holder.address,
             "beat": record.heartbeat,
             "lastFence": record.last_fence,
+            "certainty": record.certainty,
             "tables": {
                 service: [
                     [item.keys.start, item.owner, item.fence] for item in table.ranges
@@ -89,6 +125,7 @@
             int(data["beat"]),
             int(data["lastFence"]),
             {name: _parse_table(rows) for name, rows in data["tables"].items()},
+            Certainty(data.get("certainty", Certainty.CERTAIN)),
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise InvalidRecord(repr(error)) from error
--- a/packages/ownership/peridot_ownership/recorder.py
+++ b/packages/ownership/peridot_ownership/recorder.py
@@ -1,6 +1,8 @@
 """Writing the placement record (gateway mode), which also confirms the term."""
 
 import asyncio
+from collections.abc import Callable
+from dataclasses import replace
 
 from peridot_objects.objects import ObjectStore
 from peridot_objects.outcomes import (
@@ -14,16 +16,20 @@
     WriteUnknown,
     Written,
 )
+from peridot_objects.versions import version_era
 from peridot_ownership.errors import InvalidRecord, TermLost
 from peridot_ownership.record import (
     RECORD_KIND,
     RECORD_NAME,
+    Certainty,
     DaemonInstance,
     PlacementRecord,
     next_term_record,
     parse_record,
+    precedes_restore,
     serialize_record,
 )
+from peridot_ownership.rights import bound_earlier_leases
 from peridot_placement.clock import boot_time
 from peridot_placement.decisions import DecisionLog
 
@@ -38,6 +44,11 @@
 # before long leases are granted (LONG_LEASE_DELAY_S) and one round of renewals.
 CONFIRMATION_TIMEOUT_S = 4.7
 RETRY_PAUSE_S = 0.2
+# A placer that has written its record within this time continues after a restore of the
+# store. Until then no other placer can have moved keys away from their owners.
+SAFE_RENUMBERING_S = bound_earlier_leases(
+    CONFIRMATION_TIMEOUT_S, False, 0.0
+).unknown_remaining_s
 
 
 class RecordWriter:
@@ -50,12 +61,19 @@
         version: int,
         confirmed_at: float,
         log: DecisionLog,
+        is_first: bool = False,
     ) -> None:
         self.store = store
         self.record = record
         self.version = version
         self.confirmed_at = confirmed_at
         self.log = log
+        # Whether no placer can have granted leases before this term.
+        self.is_first = is_first
+        # When the term was last renumbered after a restore of the store (s).
+        self.restored_at = float("-inf")
+        # Called when the record has got a new term and new fencing tokens.
+        self.handle_restore: Callable[[], None] = lambda: None
         # When a target last reported a fencing token of a newer term (s).
         self.newer_term_seen_at = float("-inf")
         self.store_lost = False
@@ -113,11 +131,18 @@
 
     async def _write_once(self) -> None:
         self.write_requested.clear()
+        if self.store_lost and not await self._is_still_recorded():
+            self.write_requested.set()
+            await asyncio.sleep(RETRY_PAUSE_S)
+            return
         waiters, self.waiters = self.waiters, []
         self.record.heartbeat += 1
         started_at = boot_time()
-        outcome = await self._write_record()
+        outcome = await self._write_record(self.record, self.version)
         if isinstance(outcome, Written):
+            if version_era(outcome.version) != version_era(self.version):
+                # It replaced a record of the new era that has the same revision.
+                raise TermLost("the store was restored during a write")
             self._confirm(started_at, outcome.version)
             for waiter in waiters:
                 if not waiter.done():
@@ -128,14 +153,25 @@
         self.write_requested.set()
         await self._resolve_failed_write(outcome)
 
-    async def _write_record(self) -> WriteOutcome:
+    async def _is_still_recorded(self) -> bool:
+        """Return whether the term is still stored; raise TermLost.
+
+        A store that was restored meanwhile may have a newer record at the revision that
+        the next write expects, and would replace it.
+        """
+        found = await self._read_record()
+        if isinstance(found, StoreUnavailable):
+            return False
+        await self._check_found(found)
+        return True
+
+    async def _write_record(
+        self, record: PlacementRecord, version: int
+    ) -> WriteOutcome:
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
                 return await self.store.write(
-                    RECORD_KIND,
-                    RECORD_NAME,
-                    serialize_record(self.record),
-                    self.version,
+                    RECORD_KIND, RECORD_NAME, serialize_record(record), version
                 )
         except TimeoutError as error:
             return WriteUnknown(repr(error))
@@ -157,18 +193,71 @@
         if isinstance(outcome, StoreUnavailable):
             return
         found = await self._read_record()
-        if isinstance(found, StoreUnavailable):
+        if not isinstance(found, StoreUnavailable):
+            await self._check_found(found)
+
+    async def _check_found(self, found: StoredObject | Missing) -> None:
+        """Continue from the record that is stored now; raise TermLost."""
+        era = found.era if isinstance(found, Missing) else version_era(found.version)
+        if era > version_era(self.version):
+            await self._renumber_term(found, era)
             return
         if isinstance(found, Missing):
             raise TermLost("the record was deleted")
         self._check_holder(found)
         self.version = found.version
 
+    async def _renumber_term(self, found: StoredObject | Missing, era: int) -> None:
+        """Continue under a new term after the store was restored; raise TermLost.
+
+        The owners in memory are newer than those that were restored. Another placer can
+        have acquired a term that was lost only after the last write of this one; it
+        moved no owned keys before the leases of this term had expired.
+        """
+        unwritten_s = boot_time() - self.confirmed_at
+        if unwritten_s >= SAFE_RENUMBERING_S:
+            raise TermLost(f"the store was restored after {unwritten_s:.1f} s")
+        version, stored = 0, None
+        if isinstance(found, StoredObject):
+            version, stored = found.version, _parse_found(found)
+            if not precedes_restore(stored, era):
+                raise TermLost(f"term {stored.term} is held by {stored.holder.vm}")
+        record = next_term_record(self.record, self.record.holder, era)
+        record.certainty = max(record.certainty, Certainty.LEASES_UNCERTAIN)
+        started_at = boot_time()
+        outcome = await self._write_record(record, version)
+        self.log.write(
+            "term_renumbered",
+            term=self.record.term,
+            new_term=record.term,
+            era=era,
+            stored_term=stored.term if stored is not None else "-",
+            unwritten_s=round(unwritten_s, 2),
+            outcome=type(outcome).__name__,
+        )
+        if not isinstance(outcome, Written):
+            return
+        if version_era(outcome.version) != era:
+            raise TermLost("the store was restored during a write")
+        self._adopt_term(record)
+        self._confirm(started_at, outcome.version)
+
+    def _adopt_term(self, record: PlacementRecord) -> None:
+        """Continue under a new term's number, with new fencing tokens for all ranges.
+
+        The owners may have changed while the new record was written.
+        """
+        self.record.term, self.record.last_fence = record.term, record.last_fence
+        self.record.certainty = record.certainty
+        for table in self.record.tables.values():
+            table.ranges = [
+                replace(item, fence=self.record.next_fence()) for item in table.ranges
+            ]
+        self.restored_at = boot_time()
+        self.handle_restore()
+
     def _check_holder(self, found: StoredObject) -> None:
-        try:
-            stored = parse_record(found.value)
-        except InvalidRecord as error:
-            raise TermLost(f"the stored record is invalid: {error}") from error
+        stored = _parse_found(found)
         if stored.holder != self.record.holder or stored.term != self.record.term:
             raise TermLost(f"term {stored.term} is held by {stored.holder.vm}")
 
@@ -188,26 +277,40 @@
         self.store_lost = True
 
 
+def _parse_found(found: StoredObject) -> PlacementRecord:
+    try:
+        return parse_record(found.value)
+    except InvalidRecord as error:
+        raise TermLost(f"the stored record is invalid: {error}") from error
+
+
 async def acquire_term(
     store: ObjectStore,
     holder: DaemonInstance,
     found: StoredObject | Missing,
     log: DecisionLog,
+    may_be_first: bool = True,
+    known_term: int = 0,
 ) -> RecordWriter | None:
     """Acquire the next term if the record is still the one that was found.
 
-    Return None if another daemon was faster, the write failed, its outcome is unknown
-    or the found record is invalid.
+    Without a record the term is the first, if it may be. Return None if another daemon
+    was faster, the write failed, its outcome is unknown or the found record is invalid.
     """
-    previous = None
+    previous, version = None, 0
     if isinstance(found, StoredObject):
         try:
             previous = parse_record(found.value)
         except InvalidRecord as error:
             log.write("record_unreadable", reason=error)
             return None
-    record = next_term_record(previous, holder)
-    version = found.version if isinstance(found, StoredObject) else 0
+        version, era = found.version, version_era(found.version)
+        restored = precedes_restore(previous, era)
+    else:
+        era, restored = found.era, not may_be_first
+    record = next_term_record(previous, holder, era, known_term if restored else 0)
+    if restored:
+        record.certainty = Certainty.OWNERS_UNCERTAIN
     started_at = boot_time()
     outcome = await store.write(
         RECORD_KIND, RECORD_NAME, serialize_record(record), version
@@ -216,8 +319,10 @@
         "take_term",
         term=record.term,
         found_version=version,
+        certainty=record.certainty.name,
         outcome=type(outcome).__name__,
     )
-    if not isinstance(outcome, Written):
+    if not isinstance(outcome, Written) or version_era(outcome.version) != era:
         return None
-    return RecordWriter(store, record, outcome.version, started_at, log)
+    is_first = isinstance(found, Missing) and not restored
+    return RecordWriter(store, record, outcome.version, started_at, log, is_first)
--- a/packages/ownership/tests/test_ownership_model.py
+++ b/packages/ownership/tests/test_ownership_model.py
@@ -1,12 +1,14 @@
 """Simulation of the placer (gateway mode) in virtual time with random faults.
 
-Checks that no key ever has two holders. Placers start and end, also two at once;
-targets become unreachable, respond late, restart and leave; the store becomes
-unavailable to some placers and loses responses.
+Checks that no key ever has two holders. Placers start, end and resign, also two at
+once; targets become unreachable, respond late, restart, leave, and vanish from the view
+while they live; the store becomes unavailable to some placers, loses responses and is
+restored from copies that are some seconds old.
 """
 
 import asyncio
 import random
+from collections import deque
 from contextlib import AsyncExitStack, contextmanager
 from dataclasses import replace
 from unittest.mock import patch
@@ -15,19 +17,25 @@
 
 from peridot_fakes.holders import MemoryLeaseClient
 from peridot_fakes.virtualtime import run_virtual, virtual_time
-from peridot_objects.objects import MemoryObjectStore, ObjectStore
+from peridot_objects.objects import MemoryObjectStore, ObjectStore, StoreCopy
 from peridot_objects.outcomes import StoreUnavailable
 from peridot_ownership import (
     granter as granter_module,
     placer as placer_module,
     recorder as recorder_module,
 )
+from peridot_ownership.errors import TermLost
 from peridot_ownership.holds import Grant, TargetLeaseClient, Unreached
 from peridot_ownership.loads import KeyLoads
 from peridot_ownership.placer import Placer
 from peridot_ownership.ranges import KEY_SPACE, KeyRange
-from peridot_ownership.record import RECORD_KIND, RECORD_NAME, DaemonInstance
-from peridot_ownership.recorder import acquire_term
+from peridot_ownership.record import (
+    RECORD_KIND,
+    RECORD_NAME,
+    Certainty,
+    DaemonInstance,
+)
+from peridot_ownership.recorder import RecordWriter, acquire_term
 from peridot_ownership.rights import (
     NO_EARLIER_LEASES,
     EarlierLeases,
@@ -49,12 +57,8 @@
 RECOVERY_S = 40.0
 
 
-def find_earlier_leases(record_writer) -> EarlierLeases:
-    if record_writer.record.term == 1:
-        return NO_EARLIER_LEASES
-    return bound_earlier_leases(
-        recorder_module.CONFIRMATION_TIMEOUT_S, True, HOLD_MAX_S
-    )
+# Number of steps whose copies of the store may be restored; a step takes up to 2 s.
+COPIES = 4
 
 
 class ReachableStore(ObjectStore):
@@ -155,15 +159,23 @@
             tuple[Placer, ReachableStore, ReachableLeaseClient, AsyncExitStack]
         ] = []
         self.number = 0
+        # The term of the last placer that resigned, and the leases that it reported.
+        self.reported: tuple[int, EarlierLeases] | None = None
+        self.copies: deque[StoreCopy] = deque(maxlen=COPIES)
+        self.vanished: dict[str, TargetInstance] = {}
 
     async def simulate(self) -> None:
         await self.start_placer()
         for _ in range(STEPS):
+            self.copies.append(self.store.take_copy())
             await self.rng.choice(
                 (
                     self.start_placer,
                     self.start_placer,
                     self.end_placer,
+                    self.resign_placer,
+                    self.restore_store,
+                    self.vanish_or_return,
                     self.cut_store,
                     self.cut_targets,
                     self.disturb_target,
@@ -181,11 +193,19 @@
             self.lease_client.check()
         await self.clear_faults()
         await self.start_placer()
-        await asyncio.sleep(RECOVERY_S)
+        await self.recover()
         self.check_all_owned()
         for *_, stack in self.placers:
             await stack.aclose()
 
+    async def recover(self) -> None:
+        """Wait until all keys can be owned again; elect a placer if none is left."""
+        deadline = virtual_time() + RECOVERY_S
+        while virtual_time() < deadline:
+            if all(p.record_writer.ended.done() for p, *_ in self.placers):
+                await self.start_placer()
+            await asyncio.sleep(1.0)
+
     def check_all_owned(self) -> None:
         now = virtual_time()
         for key in range(0, KEY_SPACE, 1_021):
@@ -204,7 +224,9 @@
         )
         found = await store.read(RECORD_KIND, RECORD_NAME)
         holder = DaemonInstance("vm", f"vm-{self.number}", "127.0.0.1:1")
-        record_writer = await acquire_term(store, holder, found, self.log)
+        record_writer = await acquire_term(
+            store, holder, found, self.log, may_be_first=self.number == 1
+        )
         if record_writer is None:
             return
         placer = Placer(
@@ -213,7 +235,7 @@
             self.view,
             self.log,
             HOLD_MAX_S,
-            find_earlier_leases(record_writer),
+            self.find_earlier_leases(record_writer),
             self.make_member_check(self.number),
             LEAVING_GRACE_S,
         )
@@ -223,6 +245,44 @@
         await stack.enter_async_context(placer.run())
         self.placers.append((placer, store, lease_client, stack))
 
+    def find_earlier_leases(self, record_writer: RecordWriter) -> EarlierLeases:
+        if record_writer.is_first:
+            return NO_EARLIER_LEASES
+        unknown = bound_earlier_leases(
+            recorder_module.CONFIRMATION_TIMEOUT_S, True, HOLD_MAX_S
+        )
+        if record_writer.record.certainty is not Certainty.CERTAIN:
+            return unknown
+        if self.reported and self.reported[0] == record_writer.record.term - 1:
+            return self.reported[1]
+        return unknown
+
+    async def resign_placer(self) -> None:
+        """End a placer that reports its leases; its successor starts at once."""
+        if not self.placers:
+            return
+        index = self.rng.randrange(len(self.placers))
+        placer, *_, stack = self.placers.pop(index)
+        if not placer.record_writer.ended.done():
+            placer.record_writer.end_term(TermLost("resigned"))
+            leases = placer.lease_manager.export_leases()
+            self.reported = placer.record.term, leases
+        await stack.aclose()
+        await self.start_placer()
+
+    async def restore_store(self) -> None:
+        await self.store.restore(self.rng.choice(self.copies))
+        self.copies.clear()
+        self.copies.append(self.store.take_copy())
+
+    async def vanish_or_return(self) -> None:
+        """Remove a target from the view while it lives, or add it again."""
+        name = self.rng.choice(TARGETS)
+        if name in self.vanished:
+            self.view.targets[name] = self.vanished.pop(name)
+        elif len(self.view.targets) > 1:
+            self.vanished[name] = self.view.targets.pop(name)
+
     def make_member_check(self, number: int):
         """Return the check of a placer that most members report to it.
 
@@ -256,8 +316,8 @@
     async def restart_target(self) -> None:
         name = self.rng.choice(TARGETS)
         self.lease_client.holder(name).held.clear()
-        before = self.view.targets[name]
-        self.view.targets[name] = replace(before, started_ms=before.started_ms + 1)
+        views = self.vanished if name in self.vanished else self.view.targets
+        views[name] = replace(views[name], started_ms=views[name].started_ms + 1)
 
     async def garble_responses(self) -> None:
         """Start or stop garbling a target's responses."""
@@ -273,14 +333,16 @@
 
     async def leave_or_return(self) -> None:
         name = self.rng.choice(TARGETS)
-        before = self.view.targets[name]
-        self.view.targets[name] = replace(before, leaving=not before.leaving)
+        views = self.vanished if name in self.vanished else self.view.targets
+        views[name] = replace(views[name], leaving=not views[name].leaving)
 
     async def lose_answers(self) -> None:
         self.store.lose_answers = self.rng.randrange(4)
 
     async def clear_faults(self) -> None:
         self.store.lose_answers = 0
+        self.view.targets |= self.vanished
+        self.vanished.clear()
         for _, store, lease_client, _ in self.placers:
             store.cut, lease_client.cut = False, set()
         for name in TARGETS:
@@ -318,6 +380,13 @@
 @example(6)
 @example(22)
 @example(30)
+# Restores of the store: a successor trusted the report of a placer that didn't know of
+# a lost term (94, 438, 778); placers replaced each other's records at equal revisions
+# (58).
+@example(58)
+@example(94)
+@example(438)
+@example(778)
 def test_no_key_has_two_holders_and_all_get_one_again(seed):
     simulation = simulate(seed)
     assert not simulation.lease_client.violations, simulation.lease_client.violations[
--- a/packages/ownership/tests/test_placer.py
+++ b/packages/ownership/tests/test_placer.py
@@ -73,7 +73,7 @@
 
 
 def find_earlier_leases(record_writer) -> EarlierLeases:
-    if record_writer.record.term == 1:
+    if record_writer.is_first:
         return NO_EARLIER_LEASES
     return bound_earlier_leases(
         recorder_module.CONFIRMATION_TIMEOUT_S, True, HOLD_MAX_S
@@ -544,3 +544,86 @@
     assert long.unanswered_remaining_s == long.unknown_remaining_s
     short = bound_earlier_leases(CONFIRMATION_TIMEOUT_S, False, 10.0)
     assert short.unanswered_remaining_s < long.unanswered_remaining_s
+
+
+def test_a_placer_goes_on_when_the_store_is_restored_from_a_copy():
+    """Pattern: the store is back from a copy that lacks the placer's last writes.
+
+    Leases must not lapse, and fencing tokens that the store has forgotten must not be
+    issued again.
+    """
+
+    async def check():
+        harness = PlacerHarness("a b")
+        async with harness.run_placer("vm1") as placer:
+            await wait_until(placer, lambda: harness.owners(placer) == {"a", "b"})
+            copy = harness.store.take_copy()
+            harness.view.targets = [t for t in harness.view.targets if t.name != "a"]
+            await wait_until(placer, lambda: harness.owners(placer) == {"b"})
+            highest = max(fence for _, fence in harness.lease_client.holder("b").seen)
+            await harness.store.restore(copy)
+            for _ in range(20):
+                await asyncio.sleep(0.02)
+                now = asyncio.get_running_loop().time()
+                assert harness.lease_client.holder("b").holds(0, now)
+            assert not placer.record_writer.ended.done()
+            assert {item.owner for item in (await harness.stored_table()).ranges} == {
+                "b"
+            }
+            lowest = min(item.fence for item in placer.record.tables[SERVICE].ranges)
+            assert lowest > highest
+        assert not harness.lease_client.violations
+
+    run(check())
+
+
+def test_a_successor_grants_nothing_by_a_restored_record_until_lost_leases_expire():
+    """Pattern: the placer is lost as the store comes back without its last moves."""
+
+    async def check():
+        harness = PlacerHarness("a b")
+        async with harness.run_placer("vm1") as first:
+            await wait_until(first, lambda: harness.owners(first) == {"a", "b"})
+            copy = harness.store.take_copy()
+            harness.view.targets = [t for t in harness.view.targets if t.name != "a"]
+            await wait_until(first, lambda: harness.owners(first) == {"b"})
+        await harness.store.restore(copy)
+        harness.view = FixedView("a b")
+        granted = len(harness.lease_client.holder("a").seen)
+        async with harness.run_placer("vm2") as second:
+            await asyncio.sleep(LEASE_S)
+            assert len(harness.lease_client.holder("a").seen) == granted
+            await wait_until(second, lambda: second.record.certainty == 0)
+            await wait_until(
+                second, lambda: len(harness.lease_client.holder("a").seen) > granted
+            )
+        assert not harness.lease_client.violations
+
+    run(check())
+
+
+def test_the_record_of_another_placer_is_not_replaced_at_a_reissued_revision():
+    """Pattern: a placer that lost the store writes after a restore.
+
+    Revisions are given out again, so its write would pass the store's check.
+    """
+
+    async def check():
+        harness = PlacerHarness("a")
+        async with harness.run_placer("vm1") as first:
+            await wait_until(first, lambda: harness.owners(first) == {"a"})
+            copy = harness.store.take_copy()
+            await harness.store.set_outage(True)
+            await wait_until(first, lambda: first.record_writer.store_lost)
+            await harness.store.restore(copy)
+            await harness.store.set_outage(False)
+            found = await harness.store.read(RECORD_KIND, RECORD_NAME)
+            holder = DaemonInstance("vm2", "vm2-1", "127.0.0.1:1")
+            second = await acquire_term(harness.store, holder, found, harness.log)
+            while second.version < first.record_writer.version % (1 << 40):
+                await second._write_once()
+            await wait_until(first, first.record_writer.ended.done)
+            found = await harness.store.read(RECORD_KIND, RECORD_NAME)
+            assert parse_record(found.value).holder == holder
+
+    run(check())
