Run the pipelined requests of a connection beside each other

Cause: callers that send ahead waited for the sum of the runs before theirs, and a request's time counted from its turn, so that targets were told more time than its caller had left. A deadline of 0 ms counted as none.

Responses stay in order. A caller that leaves ends all its runs; a stop answers what has been started and starts no more. Time counts from the arrival.

--- a/packages/gateway/peridot_gateway/ingress.py
+++ b/packages/gateway/peridot_gateway/ingress.py
@@ -13,6 +13,7 @@
 from peridot_daemon.metrics import Metrics
 from peridot_daemon.settings import split_address
 from peridot_gateway.dialect import CallerHeaders, Dialect
+from peridot_gateway.pipelining import CallerRequest, CallerServer
 from peridot_gateway.requests import GatewayRequest, end_to_end_headers
 from peridot_gateway.router import GatewayRouter
 from peridot_gateway.routes import choose_service
@@ -68,8 +69,9 @@
     @asynccontextmanager
     async def serve(self, address: str) -> AsyncIterator[None]:
         """Listen for callers while the context lasts."""
-        self.server = web.Server(
+        self.server = CallerServer(
             self.handle,
+            self._start_early,
             handler_cancellation=True,
             access_log=None,
             auto_decompress=False,
@@ -107,24 +109,28 @@
             + IDLE_MARGIN_S
         )
 
-    async def handle(self, http_request: web.BaseRequest) -> web.StreamResponse:
-        """Handle one request of a caller."""
+    async def handle(self, http_request: CallerRequest) -> web.StreamResponse:
+        """Handle the request of a caller whose response is due."""
         transport = http_request.transport
         if transport is None or transport.is_closing():
             # The connection was closed while the request arrived: it must not run,
             # since no response can be sent.
             return to_response(NotRun(Reason.STOPPING))
-        began = monotonic()
+        arrival = http_request.arrival
         self.open_requests += 1
         self.busy_connections.add(http_request.protocol)
         caller_headers = self.dialect.parse_caller_headers(http_request.headers)
-        route = None
+        route = self._match_route(http_request)
         try:
-            route = self._match_route(http_request)
-            if isinstance(route, NotRun):
-                outcome: Outcome = route
+            if arrival.run is not None:
+                outcome = await arrival.run
+            elif isinstance(route, NotRun):
+                outcome = route
             else:
-                outcome = await self._route(http_request, route, caller_headers, began)
+                http_request.protocol.start_waiting()
+                outcome = await self._route(
+                    http_request, route, caller_headers, arrival.began
+                )
         except asyncio.CancelledError:
             self.log.write("caller_left", request=caller_headers.request_id)
             raise
@@ -132,12 +138,28 @@
             self.open_requests -= 1
             if not self.stopping:
                 self.busy_connections.discard(http_request.protocol)
-        self._record_outcome(route, caller_headers, outcome, monotonic() - began)
+        took_s = monotonic() - arrival.began
+        self._record_outcome(route, caller_headers, outcome, took_s)
         response = to_response(outcome)
-        if self.stopping:
+        if self.stopping and not http_request.protocol.count_started():
+            # Requests behind it that haven't been started count as not read.
             response.force_close()
         return response
 
+    def _start_early(self, http_request: CallerRequest) -> asyncio.Task | None:
+        """Start a request whose response isn't due yet, if it may run more than once.
+
+        Others must not run before it is certain that their response can be sent.
+        """
+        route = self._match_route(http_request)
+        if self.stopping or isinstance(route, NotRun) or not route.idempotent:
+            return None
+        caller_headers = self.dialect.parse_caller_headers(http_request.headers)
+        began = http_request.arrival.began
+        return asyncio.create_task(
+            self._route(http_request, route, caller_headers, began)
+        )
+
     def _record_outcome(
         self,
         route: Route | NotRun | None,
@@ -191,7 +213,9 @@
         if len(body) > limit:
             return NotRun(Reason.BODY_TOO_LARGE, detail=f"over {limit} bytes")
         # Without a deadline of the caller, the route's timeout applies.
-        wait_s = min(caller_headers.deadline_s or route.timeout_s, route.timeout_s)
+        deadline_s = caller_headers.deadline_s
+        wait_s = route.timeout_s if deadline_s is None else deadline_s
+        wait_s = min(wait_s, route.timeout_s)
         request = GatewayRequest(
             caller_headers.request_id,
             route,
