Learn from a target's responses that it leaves, or for how long it wants no requests

Server-Leaving: a VM takes any response with it, lease calls and refusals included, as the target's notice to leave: it is picked no more, its keys get no new requests after the drain time less 1 s, whatever the store says or whether it can be reached, until another incarnation starts. VMs report it to the placer, which moves the keys with a handover and tells all members.

Retry-After of a 503: nothing reaches the target from this VM for that long (60 s at most): no retries, waiting requests or pipelined ones; keys of a paused owner wait if the pause is short, or are refused at once with the rest of the pause, spread over a second. Then its slots are used again one by one over a second. It isn't a failure of the target. Values that aren't a number of seconds are logged and ignored. Renewals of leases go on.

--- a/packages/fakes/tests/test_adapter.py
+++ b/packages/fakes/tests/test_adapter.py
@@ -115,6 +115,42 @@
     assert parse(421, {}, request).misdirected
     assert parse(421, {"X-Instance-Id": "i-2"}, request).answered_by == "i-2"
     assert parse(200, valid | {"X-Upstream-Load": "3,x"}, request).load is None
+    assert parse(200, valid | {"Server-Leaving": "1"}, request).leaving
+    assert not parse(200, valid | {"Server-Leaving": "0"}, request).leaving
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        ("1.5", 1.5),
+        ("0", 0.0),
+        ("99999999", 99_999_999.0),
+        ("-1", None),
+        ("nan", None),
+        ("inf", None),
+        ("soon", None),
+        ("Fri, 04 Dec 2026 15:00:00 GMT", None),
+        ("", None),
+    ],
+)
+def test_only_a_503_with_a_valid_retry_after_asks_for_a_pause(
+    text, expected, make_gateway_request
+):
+    parse = PlatformDialect().parse_response_headers
+    request = make_gateway_request("id-1")
+    parsed = parse(503, {"Retry-After": text}, request)
+    assert parsed.retry_after_s == expected
+    assert parsed.pause_s == (expected or 0.0)
+    assert bool(parsed.malformed) == (expected is None)
+    assert parse(429, {"Retry-After": text}, request).pause_s == 0.0
+
+
+@pytest.mark.parametrize("text", ["9" * 4_301, "-1", "x", "1.5", ""])
+def test_malformed_numbers_in_headers_of_callers_count_as_missing(text):
+    """int() raises an error for texts of more than 4,300 digits."""
+    headers = {"X-Request-Deadline-Ms": text, "X-Shard-Key": text}
+    parsed = PlatformDialect().parse_caller_headers(headers)
+    assert parsed.deadline_s is None and parsed.key is None
 
 
 @pytest.fixture
--- a/packages/gateway/peridot_gateway/admission.py
+++ b/packages/gateway/peridot_gateway/admission.py
@@ -25,7 +25,7 @@
         """Return a refusal if a target won't finish a request in time, else None."""
         now = monotonic()
         estimate = self.estimates.get(target.name)
-        if estimate.is_full(now):
+        if estimate.is_full(target.slots, now):
             retry_ms = int(1000 * max(MIN_RETRY_AFTER_S, estimate.processing_s))
             return NotRun(Reason.OVERLOADED, retry_ms, "full")
         wait_s = estimate.expected_wait_s(target.slots, now)
--- a/packages/gateway/peridot_gateway/daemon.py
+++ b/packages/gateway/peridot_gateway/daemon.py
@@ -33,6 +33,7 @@
 from peridot_ownership.holds import TargetLeaseClient
 from peridot_ownership.record import DaemonInstance
 from peridot_placement.decisions import DecisionLog
+from peridot_resources.configuration import TargetInstance
 
 RESTART_PAUSE_S = 0.2
 # Load balancers that check once a second and need two failures have stopped sending
@@ -104,7 +105,9 @@
         self._set_recovery_times()
         self.estimates = Estimates()
         self.owners = Owners()
-        self.sender = Sender(dialect, self.estimates)
+        self.sender = Sender(dialect, self.estimates, log)
+        self.sender.handle_leaving = self._handle_leaving
+        self.adapter.lease_client.handle_leaving = self._handle_leaving
         parts = RouterParts(
             self.owners,
             self.targets,
@@ -146,6 +149,9 @@
             dialect, self.configuration, self.router, self.metrics, log, rng
         )
 
+    def _handle_leaving(self, target: TargetInstance) -> None:
+        self.targets.announce_leaving(target.name, target.started_ms)
+
     def _set_recovery_times(self) -> None:
         self.configuration.set_recovery_time(self.settings.settle_s)
         self.targets.set_recovery_time(self.settings.target_recovery_s)
--- a/packages/gateway/peridot_gateway/dialect.py
+++ b/packages/gateway/peridot_gateway/dialect.py
@@ -48,6 +48,12 @@
     load: ReportedLoad | None
     # Delay before a retry that the target asks for (s).
     retry_after_s: float | None
+    # The target announces that it is leaving.
+    leaving: bool = False
+    # For how long the target wants no requests from this VM (s); 0 if it doesn't say.
+    pause_s: float = 0.0
+    # Names of headers whose values can't be parsed.
+    malformed: tuple[str, ...] = ()
 
 
 class Dialect(ABC):
--- a/packages/gateway/peridot_gateway/estimates.py
+++ b/packages/gateway/peridot_gateway/estimates.py
@@ -33,6 +33,10 @@
 # A target whose address another target responded at is tried again after this time:
 # the response may have been garbled.
 GONE_DURATION_S = 1.5
+# Longest pause that a target can ask for.
+MAX_PAUSE_S = 60.0
+# After a pause, this VM uses a target's slots again one by one over this time.
+PAUSE_RAMP_S = 1.0
 
 
 @dataclass
@@ -54,6 +58,8 @@
     gone_until: float = 0.0
     # Requests in flight from all VMs that the target accepts, learnt from refusals.
     concurrency_limit: float = inf
+    # Until when (s) the target wants no requests from this VM.
+    paused_until: float = float("-inf")
     # When the last response arrived (s).
     last_response_at: float = float("-inf")
     # Since the last report to the placer; processing times without waits.
@@ -113,9 +119,27 @@
             self.concurrency_limit = min(self.concurrency_limit, accepted)
         return at_limit
 
-    def is_full(self, now: float) -> bool:
+    def is_full(self, slots: int, now: float) -> bool:
         """Return whether the target is expected to refuse one more request."""
-        return self.total_in_flight(now) >= self.concurrency_limit
+        return self.total_in_flight(
+            now
+        ) >= self.concurrency_limit or self.in_flight >= self._resume_limit(slots, now)
+
+    def pause(self, duration_s: float, now: float) -> None:
+        """Send no requests for a time (s)."""
+        until = now + min(duration_s, MAX_PAUSE_S)
+        self.paused_until = max(self.paused_until, until)
+
+    def pause_remaining_s(self, now: float) -> float:
+        """Return for how much longer no requests may be sent (s)."""
+        return max(0.0, self.paused_until - now)
+
+    def _resume_limit(self, slots: int, now: float) -> float:
+        """Return how many requests of this VM may be in flight after a pause."""
+        resumed_s = now - self.paused_until
+        if resumed_s >= PAUSE_RAMP_S:
+            return inf
+        return max(1, int(slots * resumed_s / PAUSE_RAMP_S))
 
     def _record_result(self, failed: float, now: float) -> None:
         rate = self.current_failure_rate(now)
@@ -179,6 +203,10 @@
         now = monotonic()
         return now - estimate.gone_since if now < estimate.gone_until else None
 
+    def pause_remaining_s(self, target: str) -> float:
+        """Return for how much longer a target wants no requests (s)."""
+        return self.get(target).pause_remaining_s(monotonic())
+
     def avoid(self, target: str) -> None:
         """Avoid a target for AVOID_DURATION_S."""
         self.get(target).avoid_until = monotonic() + AVOID_DURATION_S
--- a/packages/gateway/peridot_gateway/fleet.py
+++ b/packages/gateway/peridot_gateway/fleet.py
@@ -345,6 +345,8 @@
             store_reachable=self._is_store_reachable(),
             leaving=self.leaving,
         )
+        for name, started_ms in self.parts.load.targets.announced_leaving.items():
+            report.targets.add(target=name, leaving=True, started_ms=started_ms)
         for name, item in self.parts.estimates.targets.items():
             if item.in_flight or item.finished or item.failed:
                 report.targets.add(
--- a/packages/gateway/peridot_gateway/fleetload.py
+++ b/packages/gateway/peridot_gateway/fleetload.py
@@ -55,6 +55,8 @@
         for item in report.targets:
             if item.busy_count:
                 self._record_processing_time(item)
+            if item.leaving:
+                self.targets.announce_leaving(item.target, item.started_ms)
         self.in_flight[report.vm] = {
             item.target: item.in_flight for item in report.targets if item.in_flight
         }
--- a/packages/gateway/peridot_gateway/picker.py
+++ b/packages/gateway/peridot_gateway/picker.py
@@ -33,7 +33,7 @@
     def pick(
         self, targets: Collection[TargetInstance], tried: Collection[str]
     ) -> TargetInstance | None:
-        """Return a target that isn't leaving and wasn't tried, or None."""
+        """Return a target that takes requests and wasn't tried, or None."""
         now = monotonic()
         usable = [
             t
@@ -41,6 +41,7 @@
             if not t.leaving
             and t.name not in tried
             and self.estimates.gone_for_s(t.name) is None
+            and not self.estimates.pause_remaining_s(t.name)
         ]
         healthy = [t for t in usable if self.estimates.get(t.name).avoid_until <= now]
         eligible = healthy or usable
@@ -53,6 +54,17 @@
         )
         return min(candidates, key=lambda target: self._cost(target, now))
 
+    def shortest_pause_s(
+        self, targets: Collection[TargetInstance], tried: Collection[str]
+    ) -> float:
+        """Return when a paused target takes requests again (s), 0 if none is paused."""
+        pauses = [
+            self.estimates.pause_remaining_s(t.name)
+            for t in targets
+            if not t.leaving and t.name not in tried
+        ]
+        return min((pause_s for pause_s in pauses if pause_s > 0), default=0.0)
+
     def _sample(
         self, targets: list[TargetInstance], count: int
     ) -> list[TargetInstance]:
--- a/packages/gateway/peridot_gateway/router.py
+++ b/packages/gateway/peridot_gateway/router.py
@@ -9,7 +9,7 @@
 
 from peridot_gateway.admission import Admission
 from peridot_gateway.budget import RetryBudget, RetryBudgetLimits
-from peridot_gateway.estimates import Estimates
+from peridot_gateway.estimates import PAUSE_RAMP_S, Estimates
 from peridot_gateway.owners import Owners
 from peridot_gateway.picker import Picker
 from peridot_gateway.requests import GatewayRequest
@@ -132,7 +132,12 @@
             return NotRun(Reason.NO_TARGET, NO_TARGET_RETRY_MS, "all targets tried")
         targets = self.parts.targets.of_service(request.service.name)
         target = self.parts.picker.pick(targets, request.tried_targets)
-        return target or NotRun(Reason.NO_TARGET, NO_TARGET_RETRY_MS)
+        if target is not None:
+            return target
+        pause_s = self.parts.picker.shortest_pause_s(targets, request.tried_targets)
+        if pause_s:
+            return self._refuse_during_pause(pause_s)
+        return NotRun(Reason.NO_TARGET, NO_TARGET_RETRY_MS)
 
     async def _choose_owner(self, request: GatewayRequest) -> TargetInstance | NotRun:
         if request.key is None:
@@ -149,7 +154,13 @@
                 owners.find(request.service.name, request.key)
             )
             if target is not None and not self._is_unusable_owner(target.name):
-                return self._check_owner(request, target)
+                pause_s = self.parts.estimates.pause_remaining_s(target.name)
+                if not pause_s:
+                    return self._check_owner(request, target)
+                if pause_s > wait_deadline - asyncio.get_running_loop().time():
+                    return self._refuse_during_pause(pause_s)
+                await asyncio.sleep(pause_s)
+                continue
             remaining_s = wait_deadline - asyncio.get_running_loop().time()
             if remaining_s <= 0 or not owners.tables:
                 return NotRun(Reason.SLICE_MOVING, NO_OWNER_RETRY_MS)
@@ -159,6 +170,15 @@
             except TimeoutError:
                 continue
 
+    def _refuse_during_pause(self, pause_s: float) -> NotRun:
+        """Refuse a request whose targets want none for a time (s).
+
+        Callers are told to return one after the other as the targets take up work.
+        """
+        spread_s = self.parts.rng.uniform(0.0, PAUSE_RAMP_S)
+        retry_ms = int(1000 * (pause_s + spread_s))
+        return NotRun(Reason.OVERLOADED, retry_ms, f"paused for {pause_s:.2f}")
+
     def _unowned_s(self, service: str, key: int) -> float:
         """Return for how long a key has had no usable owner (s), 0 if it has one."""
         owner = self.parts.owners.find(service, key)
--- a/packages/gateway/peridot_gateway/sender.py
+++ b/packages/gateway/peridot_gateway/sender.py
@@ -1,7 +1,7 @@
 """Send an attempt to a target over HTTP and return its outcome."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, replace
 from time import monotonic
@@ -29,6 +29,7 @@
 from peridot_gateway.estimates import Estimates, TargetEstimate
 from peridot_gateway.requests import GatewayRequest, end_to_end_headers
 from peridot_gateway.sockets import open_connector
+from peridot_placement.decisions import DecisionLog
 from peridot_resources.configuration import TargetInstance
 from peridot_routing.attempts import AIOHTTP_AUTO_HEADERS, BODYLESS_STATUSES
 from peridot_routing.outcomes import Answered, NotRun, Outcome, Reason, Unknown
@@ -140,9 +141,14 @@
 class Sender:
     """Send attempts to targets over pooled connections."""
 
-    def __init__(self, dialect: Dialect, estimates: Estimates) -> None:
+    def __init__(
+        self, dialect: Dialect, estimates: Estimates, log: DecisionLog
+    ) -> None:
         self.dialect = dialect
         self.estimates = estimates
+        self.log = log
+        # Called with a target that announces in a response that it is leaving.
+        self.handle_leaving: Callable[[TargetInstance], None] = lambda target: None
         self.connections: dict[str, TargetConnections] = {}
         self.response_reader = ResponseReader()
 
@@ -182,6 +188,9 @@
                     self.estimates.avoid(target.name)
                 case NotRun(reason=Reason.NOT_OWNER):
                     pass
+                case NotRun(reason=Reason.SHED) if estimate.pause_remaining_s(now):
+                    # It lacks room and says for how long, so it doesn't fail.
+                    pass
                 case (
                     NotRun(reason=Reason.SHED) | Unknown(reason=Reason.CONNECTION_LOST)
                 ):
@@ -263,6 +272,7 @@
             return AttemptResult(
                 Unknown(Reason.TORN_ANSWER, "response to another request")
             )
+        self._apply_notices(response_headers, target)
         body = await self._read_body(response, request.method)
         if body is None:
             response.close()
@@ -291,6 +301,26 @@
             Answered(response.status, headers, body, target.name), response_headers
         )
 
+    def _apply_notices(
+        self, response_headers: ResponseHeaders, target: TargetInstance
+    ) -> None:
+        """Apply what a response says of its target, whatever its outcome is."""
+        for name in response_headers.malformed:
+            self.log.write("response_header_invalid", target=target.name, header=name)
+        if response_headers.answered_by not in (None, target.name):
+            return
+        if response_headers.leaving:
+            self.handle_leaving(target)
+        if response_headers.pause_s:
+            estimate = self.estimates.get(target.name)
+            estimate.pause(response_headers.pause_s, monotonic())
+            self.log.write(
+                "target_paused",
+                target=target.name,
+                asked_s=response_headers.pause_s,
+                paused_s=round(estimate.pause_remaining_s(monotonic()), 2),
+            )
+
     async def _read_body(self, response: ClientResponse, method: str) -> bytes | None:
         """Return the whole body; None if it is truncated or too large."""
         has_framing = (
--- a/packages/gateway/peridot_gateway/targets.py
+++ b/packages/gateway/peridot_gateway/targets.py
@@ -46,6 +46,8 @@
         self.push_active = False
         # Earliest time (s) at which leaving targets can have begun to leave, by name.
         self.leaving_since: dict[str, float] = {}
+        # Start of the incarnations that announced in responses that they are leaving.
+        self.announced_leaving: dict[str, int] = {}
 
     def of_service(self, service: str) -> list[TargetInstance]:
         """Return the targets of a service, leaving ones included."""
@@ -65,6 +67,25 @@
         since = self.leaving_since.get(name)
         return 0.0 if since is None else monotonic() - since
 
+    def announce_leaving(
+        self, name: str, started_ms: int, leaving_for_s: float = 0.0
+    ) -> None:
+        """Record that a target said itself that it is leaving, since a time (s) ago.
+
+        It stays so whatever the store says, until another incarnation starts.
+        """
+        target = self.targets.get(name)
+        if target is None or target.started_ms != started_ms or target.leaving:
+            return
+        self.announced_leaving[name] = started_ms
+        self.targets[name] = replace(target, leaving=True)
+        self.leaving_since[name] = monotonic() - leaving_for_s
+        self.log.write("target_announced_leaving", target=name, started=started_ms)
+        # Members of this VM learn of it like of a stored notice.
+        self._record_change(self.entries[name])
+        self._rebuild_index()
+        self.changed.notify()
+
     # Changes pushed by the placer.
 
     def receives_pushes(self) -> bool:
@@ -94,6 +115,9 @@
         elif self.push_active:
             for change in changes:
                 self.apply(change)
+        for name in leaving_for_s.keys() & self.targets.keys():
+            started_ms = self.targets[name].started_ms
+            self.announce_leaving(name, started_ms, leaving_for_s[name])
         for name in self.leaving_since.keys() & leaving_for_s.keys():
             since = now - leaving_for_s[name]
             self.leaving_since[name] = min(self.leaving_since[name], since)
@@ -178,6 +202,10 @@
         previous = self.targets.get(item.name)
         if previous is not None and self._is_restoring():
             target = keep_leaving(previous, target)
+        if self.announced_leaving.get(item.name) == target.started_ms:
+            target = replace(target, leaving=True)
+        else:
+            self.announced_leaving.pop(item.name, None)
         self._track_leaving(target)
         self.targets[item.name] = target
         if previous is None or (previous.leaving, previous.started_ms) != (
@@ -207,6 +235,7 @@
             return
         del self.entries[change.name]
         self.leaving_since.pop(change.name, None)
+        self.announced_leaving.pop(change.name, None)
         self.removed_versions[change.name] = max(change.version, stored.version)
         self._record_change(change)
         if self.targets.pop(change.name, None) is not None:
--- a/packages/gateway/tests/test_router.py
+++ b/packages/gateway/tests/test_router.py
@@ -1,25 +1,13 @@
 """Attempts, retries and final outcomes, with a scripted sender."""
 
 import asyncio
-import random
 from time import monotonic
 
-import pytest
-
-from peridot_gateway.admission import Admission
-from peridot_gateway.budget import RetryBudgetLimits
 from peridot_gateway.dialect import ReportedLoad, ResponseHeaders
-from peridot_gateway.estimates import Estimates
-from peridot_gateway.owners import Owners, OwnerTable
-from peridot_gateway.picker import Picker
-from peridot_gateway.router import GatewayRouter, RouterParts
+from peridot_gateway.owners import OwnerTable
 from peridot_gateway.sender import AttemptResult
-from peridot_placement.decisions import MemoryDecisionLog
 from peridot_routing.outcomes import Answered, NotRun, Reason, Unknown
 
-# For how long leaving targets get new requests (s).
-LEAVING_GRACE_S = 1.0
-
 OK = AttemptResult(Answered(200, (), b"body", "t"))
 ERROR = AttemptResult(Answered(500, (), b"", "t"))
 LOST = AttemptResult(Unknown(Reason.CONNECTION_LOST))
@@ -54,69 +42,10 @@
 )
 
 
-class ScriptedSender:
-    """A sender that returns given results in order, and the last one repeatedly."""
-
-    def __init__(self, results: list[AttemptResult]) -> None:
-        self.results = results
-        self.sent: list[str] = []
-
-    async def attempt(self, request, target, silence_timeout_s):
-        self.sent.append(target.name)
-        await asyncio.sleep(0)
-        at = min(len(self.sent), len(self.results)) - 1
-        return self.results[at]
-
-
-class FixedTargetSource:
-    """A target source with fixed targets."""
-
-    age_s = 0.0
-
-    def __init__(self, targets) -> None:
-        self.targets = {target.name: target for target in targets}
-        # For how long targets have been leaving (s).
-        self.leaving_times: dict[str, float] = {}
-
-    def of_service(self, service):
-        return list(self.targets.values())
-
-    def leaving_for_s(self, name):
-        return self.leaving_times.get(name, 0.0)
-
-
-@pytest.fixture
-def route_with(make_target):
-    def build(results, minimum=60.0, owners=None):
-        rng = random.Random(3)
-        estimates = Estimates()
-        sender = ScriptedSender(results)
-        parts = RouterParts(
-            owners or Owners(),
-            FixedTargetSource([make_target(name) for name in ("p", "q", "r")]),
-            estimates,
-            Picker("a", estimates, rng),
-            Admission(estimates),
-            sender,
-            MemoryDecisionLog(),
-            rng,
-        )
-        limits = RetryBudgetLimits(0.0, minimum, 10.0)
-        return GatewayRouter(parts, limits, lambda: 1, LEAVING_GRACE_S), sender
-
-    return build
-
-
-def owned_by(name: str) -> Owners:
-    owners = Owners()
-    owners.update(1, 1, {"files": OwnerTable((0,), (name,))})
-    return owners
-
-
 # Guards against requests to a leaving target by an outdated owner table: the placer is
 # lost, or can't reach the store.
 def test_an_owner_that_has_been_leaving_for_long_gets_no_new_requests(
-    route_with, make_request
+    route_with, make_request, owned_by
 ):
     router, sender = route_with([OK], owners=owned_by("p"))
     router.parts.targets.leaving_times = {"p": 1.2}
@@ -126,7 +55,7 @@
 
 
 def test_an_owner_that_has_just_begun_to_leave_still_gets_requests(
-    route_with, make_request
+    route_with, make_request, owned_by
 ):
     router, sender = route_with([OK], owners=owned_by("p"))
     router.parts.targets.leaving_times = {"p": 0.5}
@@ -187,7 +116,7 @@
 
 
 def test_requests_are_not_retried_at_an_owner_with_a_full_queue(
-    route_with, make_request
+    route_with, make_request, owned_by
 ):
     """Guards against retries for a hot key, which only add to its owner's queue."""
     router, sender = route_with([make_shed(12), OK], owners=owned_by("p"))
@@ -197,7 +126,7 @@
 
 
 def test_requests_are_retried_at_an_owner_that_sheds_with_a_free_queue(
-    route_with, make_request
+    route_with, make_request, owned_by
 ):
     """Guards against refusals by an owner with a grey failure: no other has the key."""
     router, sender = route_with([make_shed(0), OK], owners=owned_by("p"))
@@ -206,7 +135,7 @@
     assert sender.sent == ["p", "p"]
 
 
-def test_a_request_waits_for_a_range_that_moves(route_with, make_request):
+def test_a_request_waits_for_a_range_that_moves(route_with, make_request, owned_by):
     async def scenario():
         owners = owned_by("")
         router, sender = route_with([OK], owners=owners)
@@ -221,7 +150,7 @@
 
 
 def test_a_key_without_an_owner_is_refused_before_the_deadline(
-    route_with, make_request
+    route_with, make_request, owned_by
 ):
     async def scenario():
         router, _ = route_with([OK], owners=owned_by(""))
@@ -235,7 +164,7 @@
 
 
 def test_a_misdirected_request_is_retried_at_the_owner_in_the_next_table(
-    route_with, make_request
+    route_with, make_request, owned_by
 ):
     async def scenario():
         owners = owned_by("p")
@@ -249,14 +178,16 @@
     asyncio.run(scenario())
 
 
-def test_keys_are_counted_once_per_request(route_with, make_request):
+def test_keys_are_counted_once_per_request(route_with, make_request, owned_by):
     router, _ = route_with([NOT_OWNER, make_shed(0), OK], owners=owned_by("p"))
     asyncio.run(router.handle(make_request(key=5)))
     assert router.pop_key_counts() == {"files": {5: 1}}
     assert router.pop_key_counts() == {}
 
 
-def test_keys_long_without_an_owner_are_refused_at_once(route_with, make_request):
+def test_keys_long_without_an_owner_are_refused_at_once(
+    route_with, make_request, owned_by
+):
     """Guards against long waits for a dead owner, whose lease expires after seconds."""
 
     async def scenario():
@@ -275,7 +206,7 @@
 
 
 def test_an_owner_whose_address_was_reused_gets_no_further_requests(
-    route_with, make_request
+    route_with, make_request, owned_by
 ):
     """Guards against retries at a reused address that the owner table still lists.
 
@@ -292,7 +223,9 @@
     asyncio.run(scenario())
 
 
-def test_retries_at_an_owner_without_its_lease_back_off(route_with, make_request):
+def test_retries_at_an_owner_without_its_lease_back_off(
+    route_with, make_request, owned_by
+):
     """Guards against frequent retries while the store is unavailable for long.
 
     Owners then lose their leases, and each request was retried every 50 ms until its
--- a/packages/gateway/tests/test_sender.py
+++ b/packages/gateway/tests/test_sender.py
@@ -13,6 +13,7 @@
 from peridot_gateway.dialect import ResponseHeaders
 from peridot_gateway.estimates import Estimates
 from peridot_gateway.sender import Sender
+from peridot_placement.decisions import MemoryDecisionLog
 from peridot_routing.outcomes import Answered, Reason, Unknown
 
 # An endless response is aborted well before the request's deadline (s).
@@ -80,7 +81,7 @@
 async def serve_raw_target(raw_target: EndlessTarget, make_target) -> AsyncIterator:
     (port,) = free_ports(1)
     server = await asyncio.start_server(raw_target.serve, "127.0.0.1", port)
-    sender = Sender(PlainDialect(), Estimates())
+    sender = Sender(PlainDialect(), Estimates(), MemoryDecisionLog())
     async with server:
         yield sender, replace(make_target("t"), address=f"127.0.0.1:{port}")
         await sender.close()
--- a/packages/gateway/tests/test_targets.py
+++ b/packages/gateway/tests/test_targets.py
@@ -2,9 +2,14 @@
 
 import asyncio
 import time
+from dataclasses import replace
 
 from peridot_gateway import followers as followers_module, targets as targets_module
-from peridot_gateway.messages import serialize_entry
+from peridot_gateway.messages import (
+    parse_entry,
+    parse_leaving_times,
+    serialize_entry,
+)
 from peridot_gateway.targets import TargetSource
 from peridot_objects.objects import MemoryObjectStore
 from peridot_objects.outcomes import DeletedObject, StoredObject
@@ -240,3 +245,45 @@
 
     source = run_source_while(change)
     assert set(source.targets) == {"p"}
+
+
+def test_a_leaving_that_a_target_announced_outlasts_its_entry_in_the_store():
+    """Pattern: the store is away, or the target never reports that it drains."""
+    source = make_source()
+    source.apply_pushed([entry("p", 3), entry("q", 4)], True, 4)
+    source.announce_leaving("p", 0)
+    assert source.targets["p"].leaving
+    assert [t.name for t in source.of_service("files") if not t.leaving] == ["q"]
+    source.apply(entry("p", 5))
+    assert source.targets["p"].leaving and source.leaving_for_s("p") > 0
+    source.announce_leaving("q", 7)
+    assert not source.targets["q"].leaving
+
+
+def test_a_new_incarnation_ends_an_announced_leaving(monkeypatch):
+    source = make_source()
+    source.apply_pushed([entry("p", 3)], True, 3)
+    source.announce_leaving("p", 0)
+    parse = source.dialect.parse_target
+    monkeypatch.setattr(
+        source.dialect,
+        "parse_target",
+        lambda name, value: replace(parse(name, value), started_ms=9),
+    )
+    source.apply(entry("p", 4))
+    assert not source.targets["p"].leaving and not source.announced_leaving
+
+
+def test_members_learn_from_the_placer_that_a_target_announced_its_leaving():
+    placer, member = make_source(), make_source()
+    for source in (placer, member):
+        source.apply_pushed([entry("p", 3)], True, 3)
+    count = placer.change_count
+    placer.announce_leaving("p", 0, 0.5)
+    (change,) = placer.changes_since(count)
+    message = serialize_entry(change, placer.leaving_for_s("p"))
+    member.apply_pushed(
+        [parse_entry(KIND, message)], False, 3, 0.0, parse_leaving_times([message])
+    )
+    assert member.targets["p"].leaving
+    assert member.leaving_for_s("p") >= 0.5
--- a/packages/ownership/peridot_ownership/holds.py
+++ b/packages/ownership/peridot_ownership/holds.py
@@ -1,6 +1,7 @@
 """Leases of targets on key ranges (gateway mode): calls, outcomes and expiry."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from peridot_ownership.ranges import KeyRange
@@ -72,6 +73,9 @@
 class TargetLeaseClient(ABC):
     """A client that grants, renews and releases the leases of targets."""
 
+    # Called with a target that announces in a response that it is leaving.
+    handle_leaving: Callable[[TargetInstance], None] = staticmethod(lambda target: None)
+
     @abstractmethod
     async def grant(
         self, target: TargetInstance, grant: Grant, timeout_s: float
