Reuse connections for all kinds of requests and learn which ones targets forget

Change: connections are kept for 8 s of the 10 s that targets keep them. A request that may run once uses one that has been idle for at most 0.2 s (targets that forget them early do so after 0.3 s); after a reset of a reused connection the same holds for all requests to that target for 10 s.

--- a/packages/gateway/peridot_gateway/sender.py
+++ b/packages/gateway/peridot_gateway/sender.py
@@ -28,7 +28,7 @@
 from peridot_gateway.dialect import Dialect, ResponseHeaders
 from peridot_gateway.estimates import Estimates, TargetEstimate
 from peridot_gateway.requests import GatewayRequest, end_to_end_headers
-from peridot_gateway.sockets import open_connector
+from peridot_gateway.sockets import ConnectionUse, connection_use, open_connector
 from peridot_placement.decisions import DecisionLog
 from peridot_resources.configuration import TargetInstance
 from peridot_routing.attempts import AIOHTTP_AUTO_HEADERS, BODYLESS_STATUSES
@@ -37,7 +37,13 @@
 # Targets are at most a few milliseconds away; a lost SYN packet costs a second.
 CONNECT_TIMEOUT_S = 0.35
 # Idle connections are closed before the targets close them (after 10 s at the sites).
-KEEPALIVE_TIMEOUT_S = 3.0
+KEEPALIVE_TIMEOUT_S = 8.0
+# A target that forgets idle connections sooner doesn't so within this time. Only such
+# connections are used for requests that may run once: if one is reset, it is unknown
+# whether they ran.
+SAFE_IDLE_S = 0.2
+# For how long idle connections of a target aren't trusted after it has reset one.
+DISTRUST_S = 10.0
 # Leaves time to return a response that arrives just before the deadline.
 DEADLINE_MARGIN_S = 0.015
 # Retry-After for misdirected requests: a move of keys takes about this long.
@@ -66,33 +72,44 @@
 
 
 class TargetConnections:
-    """The connections to one target.
-
-    Non-idempotent requests use a new connection each: the target may close a reused
-    one while the request is being sent, and then it is unknown whether it ran.
-    """
+    """The connections to one target."""
 
     def __init__(self) -> None:
-        self.keepalive_session = open_session(
-            open_connector(keepalive_timeout=KEEPALIVE_TIMEOUT_S)
-        )
-        self.single_use_session = open_session(open_connector(force_close=True))
-        self.retired_sessions: list[ClientSession] = []
-
-    def replace_keepalive_session(self) -> None:
-        """Retire the idle connections, which may be dead; open requests go on."""
-        self.retired_sessions.append(self.keepalive_session)
-        self.keepalive_session = open_session(
-            open_connector(keepalive_timeout=KEEPALIVE_TIMEOUT_S)
-        )
+        self.session = open_target_session()
+        # Number of requests in flight by session; the present one is always included.
+        self.in_flight: dict[ClientSession, int] = {self.session: 0}
+        self.distrusted_until = float("-inf")
+
+    @asynccontextmanager
+    async def use_session(self) -> AsyncIterator[ClientSession]:
+        """Yield the session for one request; close retired ones after their last."""
+        session = self.session
+        self.in_flight[session] += 1
+        try:
+            yield session
+        finally:
+            self.in_flight[session] -= 1
+            if session is not self.session and not self.in_flight[session]:
+                del self.in_flight[session]
+                await session.close()
+
+    async def retire_session(self) -> None:
+        """Drop the idle connections, which may be dead; open requests go on."""
+        retired, self.session = self.session, open_target_session()
+        self.in_flight[self.session] = 0
+        if not self.in_flight[retired]:
+            del self.in_flight[retired]
+            await retired.close()
+
+    def max_idle_s(self, idempotent: bool, now: float) -> float:
+        """Return for how long a connection for a request may have been idle (s)."""
+        if idempotent and now >= self.distrusted_until:
+            return KEEPALIVE_TIMEOUT_S
+        return SAFE_IDLE_S
 
     async def close(self) -> None:
         """Close all connections."""
-        for session in (
-            self.keepalive_session,
-            self.single_use_session,
-            *self.retired_sessions,
-        ):
+        for session in list(self.in_flight):
             await session.close()
 
 
@@ -121,6 +138,11 @@
             handle.cancel()
 
 
+def open_target_session() -> ClientSession:
+    """Return a session whose connections are kept open."""
+    return open_session(open_connector(keepalive_timeout=KEEPALIVE_TIMEOUT_S))
+
+
 def open_session(connector: TCPConnector) -> ClientSession:
     """Return a session that adds no cookies or headers to requests."""
     session = ClientSession(
@@ -160,17 +182,19 @@
         The attempt ends before the deadline if the target is silent for a time (s).
         """
         connections = self._get_connections(target)
-        session = (
-            connections.keepalive_session
-            if request.route.idempotent
-            else connections.single_use_session
-        )
         began = monotonic()
+        max_idle_s = connections.max_idle_s(request.route.idempotent, began)
+        use = ConnectionUse(max_idle_s)
         with self.estimates.track_attempt(target.name, request.route) as estimate:
             ahead = estimate.total_in_flight(began)
-            result = await self._send(
-                session, request, target, silence_timeout_s, estimate
-            )
+            async with connections.use_session() as session:
+                token = connection_use.set(use)
+                try:
+                    result = await self._send(
+                        session, request, target, silence_timeout_s, estimate
+                    )
+                finally:
+                    connection_use.reset(token)
             now = monotonic()
             match result.outcome:
                 case Answered(status=status):
@@ -200,9 +224,27 @@
                 case _:
                     estimate.record_failure(now)
         if result.outcome == Unknown(Reason.DEADLINE):
-            connections.replace_keepalive_session()
+            await connections.retire_session()
+        self._check_reuse(connections, target, use, result)
         return result
 
+    def _check_reuse(
+        self,
+        connections: TargetConnections,
+        target: TargetInstance,
+        use: ConnectionUse,
+        result: AttemptResult,
+    ) -> None:
+        """Distrust the idle connections of a target that has reset one."""
+        outcome = result.outcome
+        if use.idle_s is None or not isinstance(outcome, Unknown):
+            return
+        if outcome.reason is Reason.CONNECTION_LOST:
+            connections.distrusted_until = monotonic() + DISTRUST_S
+            self.log.write(
+                "idle_connection_lost", target=target.name, idle_s=round(use.idle_s, 3)
+            )
+
     async def drop(self, name: str) -> None:
         """Close the connections to a target that was removed."""
         connections = self.connections.pop(name, None)
--- a/packages/gateway/peridot_gateway/sockets.py
+++ b/packages/gateway/peridot_gateway/sockets.py
@@ -3,7 +3,10 @@
 import asyncio
 import socket
 import struct
+from contextvars import ContextVar
+from dataclasses import dataclass
 from functools import partial
+from time import monotonic
 
 from aiohttp import AddrInfoType, ClientPayloadError, TCPConnector
 from aiohttp.client_proto import ResponseHandler
@@ -69,9 +72,41 @@
     return sock
 
 
+@dataclass
+class ConnectionUse:
+    """How a request may use idle connections, and which one it got."""
+
+    # Longest time (s) that a connection may have been idle.
+    max_idle_s: float
+    # For how long (s) the connection of the request had been idle; None if it is new.
+    idle_s: float | None = None
+
+
+# How the request of the current task uses connections.
+connection_use: ContextVar[ConnectionUse | None] = ContextVar("use", default=None)
+
+
+class IdleLimitConnector(TCPConnector):
+    """A connector with a limit of the idle time for each request."""
+
+    async def _get(self, key, traces):
+        # aiohttp has one limit for all requests of a connector, and takes the
+        # connection first that has been idle for the longest time.
+        use = connection_use.get()
+        connections = self._conns.get(key)
+        if use is not None and connections:
+            protocol, released_at = connections[-1]
+            idle_s = monotonic() - released_at
+            if idle_s > use.max_idle_s or not protocol.is_connected():
+                return None
+            use.idle_s = idle_s
+            connections.rotate(1)
+        return await super()._get(key, traces)
+
+
 def open_connector(**options) -> TCPConnector:
     """Return a connector without a connection limit, with reset on close."""
-    connector = TCPConnector(limit=0, socket_factory=open_socket, **options)
+    connector = IdleLimitConnector(limit=0, socket_factory=open_socket, **options)
     # aiohttp has no public option to limit a response while it arrives.
     loop = asyncio.get_running_loop()
     connector._factory = partial(BoundedResponseHandler, loop=loop)
--- /dev/null
+++ b/packages/gateway/tests/test_connections.py
@@ -0,0 +1,151 @@
+"""Pattern: targets forget idle connections without notice, sooner than usual.
+
+Requests that may run once must not ride on a doubtful connection; others learn from
+the first reset. New connections cost the targets a slot, so that the rest is reused.
+"""
+
+import asyncio
+from contextlib import asynccontextmanager
+from dataclasses import replace
+
+import pytest
+
+from peridot_fakes.fleet import free_ports
+from peridot_gateway import sender as sender_module
+from peridot_gateway.dialect import ResponseHeaders
+from peridot_gateway.estimates import Estimates
+from peridot_gateway.sender import Sender
+from peridot_placement.decisions import MemoryDecisionLog
+from peridot_routing.outcomes import Answered, Unknown
+
+RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+SAFE_IDLE_S = 0.05
+REMAINING_S = 1.0
+
+
+class SignedDialect:
+    """A dialect that adds no headers and accepts any response."""
+
+    def build_target_headers(self, request, target, remaining_s):
+        return [("Host", "a.example")]
+
+    def parse_response_headers(self, status, headers, request):
+        return ResponseHeaders(False, False, None, False, True, None, None)
+
+
+class ForgetfulTarget:
+    """A target that resets requests on connections that were idle for too long."""
+
+    def __init__(self) -> None:
+        self.forgets_after_s: float | None = None
+        self.connections = 0
+        self.silent = False
+
+    async def serve(self, reader, writer) -> None:
+        self.connections += 1
+        loop = asyncio.get_running_loop()
+        idle_since = loop.time()
+        try:
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                limit_s = self.forgets_after_s
+                if limit_s is not None and loop.time() - idle_since > limit_s:
+                    writer.transport.abort()
+                    return
+                if self.silent:
+                    continue
+                writer.write(RESPONSE)
+                await writer.drain()
+                idle_since = loop.time()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            writer.close()
+
+
+@pytest.fixture
+def run_with_target(monkeypatch, make_target):
+    monkeypatch.setattr(sender_module, "SAFE_IDLE_S", SAFE_IDLE_S)
+
+    @asynccontextmanager
+    async def open_target():
+        target = ForgetfulTarget()
+        (port,) = free_ports(1)
+        sender = Sender(SignedDialect(), Estimates(), MemoryDecisionLog())
+        async with await asyncio.start_server(target.serve, "127.0.0.1", port):
+            address = f"127.0.0.1:{port}"
+            yield target, sender, replace(make_target("t"), address=address)
+            await sender.close()
+
+    def run(scenario):
+        async def check():
+            async with open_target() as parts, asyncio.timeout(10):
+                await scenario(*parts)
+
+        asyncio.run(check())
+
+    return run
+
+
+def test_connections_that_have_just_been_used_serve_all_kinds_of_requests(
+    run_with_target, make_request
+):
+    async def scenario(target, sender, instance):
+        for idempotent in (True, False, False, True):
+            request = make_request(idempotent)
+            result = await sender.attempt(request, instance, REMAINING_S)
+            assert isinstance(result.outcome, Answered)
+        assert target.connections == 1
+
+    run_with_target(scenario)
+
+
+def test_a_request_that_may_run_once_does_not_use_an_idle_connection(
+    run_with_target, make_request
+):
+    async def scenario(target, sender, instance):
+        target.forgets_after_s = 2 * SAFE_IDLE_S
+        for _ in range(4):
+            result = await sender.attempt(make_request(False), instance, REMAINING_S)
+            assert isinstance(result.outcome, Answered)
+            await asyncio.sleep(3 * SAFE_IDLE_S)
+        assert target.connections == 4
+
+    run_with_target(scenario)
+
+
+def test_after_one_reset_idle_connections_are_not_used_for_a_while(
+    run_with_target, make_request
+):
+    async def scenario(target, sender, instance):
+        target.forgets_after_s = 2 * SAFE_IDLE_S
+        outcomes = []
+        for _ in range(4):
+            result = await sender.attempt(make_request(), instance, REMAINING_S)
+            outcomes.append(result.outcome)
+            await asyncio.sleep(3 * SAFE_IDLE_S)
+        assert [type(item) for item in outcomes] == [
+            Answered,
+            Unknown,
+            Answered,
+            Answered,
+        ]
+
+    run_with_target(scenario)
+
+
+def test_sessions_of_a_slow_target_are_closed_after_their_last_request(
+    run_with_target, make_request
+):
+    """100 attempts that ended at their deadlines left 100 open sessions behind."""
+
+    async def scenario(target, sender, instance):
+        target.silent = True
+        for _ in range(5):
+            await asyncio.gather(
+                *(
+                    sender.attempt(make_request(remaining_s=0.06), instance, 0.05)
+                    for _ in range(4)
+                )
+            )
+        assert len(sender.connections["t"].in_flight) == 1
+
+    run_with_target(scenario)
