Split traffic by smooth weighted round robin instead of independent draws

Each VM's parts deviate by a few requests at most in any run, from a random step of the sequence so that VMs don't start alike.

--- a/packages/gateway/peridot_gateway/ingress.py
+++ b/packages/gateway/peridot_gateway/ingress.py
@@ -16,7 +16,7 @@
 from peridot_gateway.pipelining import CallerRequest, CallerServer
 from peridot_gateway.requests import GatewayRequest, end_to_end_headers
 from peridot_gateway.router import GatewayRouter
-from peridot_gateway.routes import choose_service
+from peridot_gateway.routes import TrafficSplitter
 from peridot_gateway.sources import ConfigurationSource
 from peridot_placement.decisions import DecisionLog
 from peridot_resources.configuration import Route
@@ -59,7 +59,7 @@
         self.router = router
         self.metrics = metrics
         self.log = log
-        self.rng = rng
+        self.splitter = TrafficSplitter(rng)
         self.open_requests = 0
         self.stopping = False
         self.non_idempotent_tasks: set[asyncio.Task] = set()
@@ -198,7 +198,7 @@
         caller_headers: CallerHeaders,
         began: float,
     ) -> Outcome:
-        service_name = choose_service(route, self.rng)
+        service_name = self.splitter.choose(route)
         service = self.configuration_source.configuration.services.get(service_name)
         if service is None:
             return NotRun(
--- a/packages/gateway/peridot_gateway/routes.py
+++ b/packages/gateway/peridot_gateway/routes.py
@@ -3,7 +3,7 @@
 import random
 from dataclasses import dataclass, field
 
-from peridot_resources.configuration import Configuration, Route
+from peridot_resources.configuration import Configuration, Route, WeightedService
 
 
 @dataclass
@@ -28,10 +28,50 @@
         return None
 
 
-def choose_service(route: Route, rng: random.Random) -> str:
-    """Return a random service of a route, by the weights of its traffic split."""
-    traffic_split = route.traffic_split
-    if len(traffic_split) == 1:
-        return traffic_split[0].service
-    chosen = rng.choices(traffic_split, [item.weight for item in traffic_split])
-    return chosen[0].service
+# The sequence of a split repeats sooner for weights in percent.
+MAX_INITIAL_STEP = 300
+
+
+@dataclass
+class TrafficSplitter:
+    """Distribute the requests of routes over services by weight (smooth round robin).
+
+    Each part gets its share in any run of requests, with a deviation below one request.
+    """
+
+    rng: random.Random
+    # The credit of each part by route; the part with the highest gets the next request.
+    credits: dict[tuple[str, tuple[WeightedService, ...]], list[float]] = field(
+        default_factory=dict
+    )
+
+    def choose(self, route: Route) -> str:
+        """Return the service of a route's next request."""
+        parts = route.traffic_split
+        if len(parts) == 1:
+            return parts[0].service
+        return parts[self._advance(self._find_credits(route), parts)].service
+
+    def _advance(self, credits: list[float], parts: tuple[WeightedService, ...]) -> int:
+        """Return the index of the next part and update the credits."""
+        for index, part in enumerate(parts):
+            credits[index] += part.weight
+        chosen = max(range(len(parts)), key=credits.__getitem__)
+        credits[chosen] -= sum(part.weight for part in parts)
+        return chosen
+
+    def _find_credits(self, route: Route) -> list[float]:
+        """Return a route's credits, initially from a random step of the sequence.
+
+        Otherwise the first requests of all VMs would go to the same part.
+        """
+        parts = route.traffic_split
+        key = route.name, parts
+        if key not in self.credits:
+            # Weights change with the configuration.
+            for old in [item for item in self.credits if item[0] == route.name]:
+                del self.credits[old]
+            self.credits[key] = [0.0] * len(parts)
+            for _ in range(self.rng.randrange(MAX_INITIAL_STEP)):
+                self._advance(self.credits[key], parts)
+        return self.credits[key]
