Elect large VMs as placers, and ask few VMs when the placer is lost

Change: VMs report their cores; those with most come first, small ones start later after a start of all or a resignation. A VM that loses the placer asks 6 others at once, and all only when its turn comes to acquire the term; lower ranks wait for 2 s at most before they ask again.

--- a/packages/gateway/peridot_gateway/daemon.py
+++ b/packages/gateway/peridot_gateway/daemon.py
@@ -98,7 +98,7 @@
         store, dialect = self.adapter.store, self.adapter.dialect
         rng = random.Random()
         self.local_instance = DaemonInstance(
-            settings.vm, uuid4().hex, settings.fleet_listener
+            settings.vm, uuid4().hex, settings.fleet_listener, settings.cores
         )
         self.configuration = ConfigurationSource(store, dialect, log)
         self.targets = TargetSource(store, dialect, log)
--- a/packages/gateway/peridot_gateway/fleet.py
+++ b/packages/gateway/peridot_gateway/fleet.py
@@ -40,6 +40,13 @@
 # Longest watch for a successor of the placer: its connection may be dead.
 SUCCESSOR_WATCH_TIMEOUT_S = 1.0
 START_JITTER_S = 0.15
+# VMs with fewer cores than this start later in an election, in proportion.
+PLACER_CORES = 1.0
+SMALL_VM_DELAY_S = 1.0
+# Lower-ranked VMs start in an election after this time.
+MAX_ELECTION_DELAY_S = 2.0
+# Number of VMs that one which lost the placer asks at first.
+ASKED_VM_COUNT = 6
 # A record that wasn't written for this long has no live placer that reaches the store.
 STALE_RECORD_S = HEARTBEAT_PERIOD_S * 1.6
 
@@ -136,13 +143,19 @@
 
     async def run(self) -> None:
         """Follow or lead until cancelled."""
-        await asyncio.sleep(self.parts.rng.uniform(0, START_JITTER_S))
+        await asyncio.sleep(self._start_delay_s())
         found: ReadOutcome | None = None
         while True:
             if found is None:
                 found = await self.parts.store.read(RECORD_KIND, RECORD_NAME)
             found = await self._handle_record(found)
 
+    def _start_delay_s(self) -> float:
+        """Return a delay so that VMs with few cores rarely become the first placer."""
+        missing = max(0.0, PLACER_CORES - self.local_instance.cores)
+        jitter_s = self.parts.rng.uniform(0, START_JITTER_S)
+        return missing * SMALL_VM_DELAY_S + jitter_s
+
     async def _handle_record(self, found: ReadOutcome) -> StoredObject | None:
         """Follow or replace the recorded placer; return a newer record if found."""
         if isinstance(found, Missing):
@@ -178,10 +191,22 @@
             await asyncio.sleep(RETRY_DELAY_S)
             return None
         found = await self._watch_for_successor(holder, delay_s)
-        if found is None:
+        if found is None and await self._is_lost_for_all(holder, end_reason):
             await self._succeed_placer(holder)
         return found
 
+    async def _is_lost_for_all(
+        self, holder: DaemonInstance, end_reason: LinkEndReason
+    ) -> bool:
+        """Return whether no VM is connected to the placer; only successors ask all."""
+        if end_reason is LinkEndReason.RESIGNED:
+            return True
+        answers = await self._ask_peers(self._other_peers(holder))
+        if any(answer.hears_placer for answer in answers):
+            return False
+        self.follower.record_placer_loss(1 + len(answers))
+        return True
+
     async def _watch_for_successor(
         self, holder: DaemonInstance, delay_s: float
     ) -> StoredObject | None:
@@ -230,7 +255,7 @@
 
     async def _find_placer_by_peers(self) -> DaemonInstance | None:
         """Return the placer that other VMs follow, while the store is unavailable."""
-        answers = await self._ask_peers(self.local_instance)
+        answers = await self._ask_peers(self._other_peers())
         connected = [item for item in answers if item.hears_placer]
         newest = max(connected, key=lambda item: item.term, default=None)
         if newest is None or newest.placer_address == self.local_instance.address:
@@ -249,9 +274,11 @@
     async def _follow(self, holder: DaemonInstance) -> LinkEndReason:
         return await self.follower.follow(holder, self.build_report)
 
-    async def _ask_peers(self, *excluded: DaemonInstance) -> list[pb.FleetAnswer]:
-        """Ask all VMs except some if they follow the placer; return the answers."""
-        others = self.follower.peers.others(*excluded)
+    def _other_peers(self, *excluded: DaemonInstance) -> list[DaemonInstance]:
+        return self.follower.peers.others(self.local_instance, *excluded)
+
+    async def _ask_peers(self, others: list[DaemonInstance]) -> list[pb.FleetAnswer]:
+        """Ask VMs if they follow the placer; return the answers."""
         answers = await asyncio.gather(
             *(ask_member(peer.address, self.local_instance.instance) for peer in others)
         )
@@ -267,13 +294,15 @@
         if self.leaving:
             return None
         if end_reason is LinkEndReason.RESIGNED:
-            return self.parts.rng.uniform(0, START_JITTER_S)
-        answers = await self._ask_peers(holder, self.local_instance)
+            return self._start_delay_s()
+        others = self._other_peers(holder)
+        sample = self.parts.rng.sample(others, min(ASKED_VM_COUNT, len(others)))
+        answers = await self._ask_peers(sample)
         if any(answer.hears_placer for answer in answers):
             return None
-        self.follower.record_placer_loss(1 + len(answers))
         if answers:
-            return self.follower.peers.rank(self.local_instance.vm) * ELECTION_STAGGER_S
+            rank = self.follower.peers.election_rank(self.local_instance.vm)
+            return min(rank * ELECTION_STAGGER_S, MAX_ELECTION_DELAY_S)
         record_is_stale = boot_time() - self.observed_record.since >= STALE_RECORD_S
         return 0.0 if record_is_stale else None
 
@@ -341,6 +370,7 @@
             instance=self.local_instance.instance,
             data_centre=self.data_centre,
             peer_address=self.local_instance.address,
+            cores=self.local_instance.cores,
             keys=serialize_keys(self.parts.router.pop_key_counts()),
             store_reachable=self._is_store_reachable(),
             leaving=self.leaving,
--- a/packages/gateway/peridot_gateway/following.py
+++ b/packages/gateway/peridot_gateway/following.py
@@ -103,7 +103,8 @@
             self.owners.update(state.term, state.sequence, tables)
         if state.members_listed:
             self.peers.update(
-                DaemonInstance(m.vm, m.instance, m.peer_address) for m in state.members
+                DaemonInstance(m.vm, m.instance, m.peer_address, m.cores)
+                for m in state.members
             )
         else:
             self.peers.update(self.peers.instances)
--- a/packages/gateway/peridot_gateway/roster.py
+++ b/packages/gateway/peridot_gateway/roster.py
@@ -37,7 +37,7 @@
     def record_report(self, report: pb.FleetReport) -> bool:
         """Record a report; return whether its sender is a new member."""
         daemon_instance = DaemonInstance(
-            report.vm, report.instance, report.peer_address
+            report.vm, report.instance, report.peer_address, report.cores
         )
         previous = self.members.get(report.vm)
         self.members[report.vm] = Member(
@@ -120,9 +120,15 @@
 
         VMs with adjacent names tend to be in one data centre and to fail together.
         """
-        return self.rank(vm) % max(1, len(self.instances) // count) == 0
-
-    def rank(self, vm: str) -> int:
-        """Return the index of a VM in the list of all VMs sorted by name."""
         names = sorted(peer.vm for peer in self.instances)
+        index = names.index(vm) if vm in names else len(names)
+        return index % max(1, len(names) // count) == 0
+
+    def election_rank(self, vm: str) -> int:
+        """Return the index of a VM among all VMs, those with most cores first.
+
+        The work of the placer grows with the number of targets.
+        """
+        ranked = sorted(self.instances, key=lambda peer: (-peer.cores, peer.vm))
+        names = [peer.vm for peer in ranked]
         return names.index(vm) if vm in names else len(names)
--- a/packages/gateway/peridot_gateway/settings.py
+++ b/packages/gateway/peridot_gateway/settings.py
@@ -31,6 +31,8 @@
     drain_s: float
     # Whether the whole system starts for the first time.
     first_start: bool = False
+    # Processor capacity of the VM in cores.
+    cores: float = 1.0
 
     @property
     def target_recovery_s(self) -> float:
--- a/packages/gateway/peridot_gateway/states.py
+++ b/packages/gateway/peridot_gateway/states.py
@@ -89,7 +89,10 @@
         state.members_listed = True
         for holder in [self.local_instance, *self.roster.instances()]:
             state.members.add(
-                vm=holder.vm, instance=holder.instance, peer_address=holder.address
+                vm=holder.vm,
+                instance=holder.instance,
+                peer_address=holder.address,
+                cores=holder.cores,
             )
 
     def _add_in_flight(self, state: pb.FleetState, vm: str) -> None:
--- a/packages/gateway/tests/test_fleet.py
+++ b/packages/gateway/tests/test_fleet.py
@@ -2,15 +2,18 @@
 
 import asyncio
 import random
+from dataclasses import replace
 from types import SimpleNamespace
 
 from peridot_fakes.fleet import free_ports
 from peridot_fakes.holders import MemoryLeaseClient
+from peridot_gateway import fleet as fleet_module
 from peridot_gateway.estimates import Estimates
-from peridot_gateway.fleet import Fleet, FleetParts
+from peridot_gateway.fleet import ASKED_VM_COUNT, START_JITTER_S, Fleet, FleetParts
 from peridot_gateway.fleetload import FleetLoad
 from peridot_gateway.links import FleetServer, serve_fleet
 from peridot_gateway.owners import Owners
+from peridot_gateway.roster import Peers
 from peridot_gateway.sources import ConfigurationSource
 from peridot_gateway.targets import TargetSource
 from peridot_objects.objects import MemoryObjectStore
@@ -103,3 +106,50 @@
             await asyncio.gather(running, return_exceptions=True)
 
     asyncio.run(scenario())
+
+
+def test_a_vm_that_loses_the_placer_asks_few_others_before_its_turn(monkeypatch):
+    """Guards against questions of all VMs to all others when the placer is lost."""
+    asked: list[str] = []
+
+    async def ask(address, instance):
+        asked.append(address)
+        return pb.FleetAnswer(instance=address)
+
+    monkeypatch.setattr(fleet_module, "ask_member", ask)
+
+    async def scenario():
+        store, log = MemoryObjectStore(), MemoryDecisionLog()
+        first, *_, last = instances = make_instances()
+        await acquire_term(store, first, Missing(), log)
+        fleet = make_fleet(last, store)
+        fleet.follower.peers.update(instances)
+        running = asyncio.create_task(fleet.run())
+        await wait_until_followed(fleet, first)
+        await asyncio.sleep(0.5)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        assert 0 < len(asked) <= ASKED_VM_COUNT
+
+    asyncio.run(scenario())
+
+
+def test_vms_with_more_cores_come_first_in_an_election():
+    """Guards against a placer on a VM too small to renew all leases in time."""
+    peers = Peers()
+    peers.update(
+        replace(item, cores=cores)
+        for item, cores in zip(make_instances(), [0.43, 2.15, 0.86, 2.15], strict=False)
+    )
+    ranked = sorted(peers.instances, key=lambda peer: peers.election_rank(peer.vm))
+    assert [peer.vm for peer in ranked] == ["vm-01", "vm-03", "vm-02", "vm-00"]
+
+
+def test_small_vms_start_later(monkeypatch):
+    store = MemoryObjectStore()
+    delays = [
+        make_fleet(DaemonInstance("vm", "vm-1", "127.0.0.1:1", cores), store)
+        for cores in (0.43, 1.0, 2.15)
+    ]
+    small_s, middle_s, large_s = [fleet._start_delay_s() for fleet in delays]
+    assert small_s > START_JITTER_S > max(middle_s, large_s)
--- a/packages/ownership/peridot_ownership/record.py
+++ b/packages/ownership/peridot_ownership/record.py
@@ -25,6 +25,8 @@
     vm: str
     instance: str
     address: str
+    # Processor capacity of its VM in cores, not stored.
+    cores: float = field(default=1.0, compare=False)
 
 
 class Certainty(IntEnum):
