Call an unreachable store less often after each failure, up to once a second

Retries now wait 0.25 s, 0.5 s, then 1 s, but no longer than 0.25 s while the placer confirms a newer version.

--- a/packages/gateway/peridot_gateway/fleet.py
+++ b/packages/gateway/peridot_gateway/fleet.py
@@ -255,7 +255,7 @@
 
     async def _find_placer_by_peers(self) -> DaemonInstance | None:
         """Return the placer that other VMs follow, while the store is unavailable."""
-        answers = await self._ask_peers(self._other_peers())
+        answers = await self._ask_peers(self._sample_peers())
         connected = [item for item in answers if item.hears_placer]
         newest = max(connected, key=lambda item: item.term, default=None)
         if newest is None or newest.placer_address == self.local_instance.address:
@@ -277,6 +277,10 @@
     def _other_peers(self, *excluded: DaemonInstance) -> list[DaemonInstance]:
         return self.follower.peers.others(self.local_instance, *excluded)
 
+    def _sample_peers(self, *excluded: DaemonInstance) -> list[DaemonInstance]:
+        others = self._other_peers(*excluded)
+        return self.parts.rng.sample(others, min(ASKED_VM_COUNT, len(others)))
+
     async def _ask_peers(self, others: list[DaemonInstance]) -> list[pb.FleetAnswer]:
         """Ask VMs if they follow the placer; return the answers."""
         answers = await asyncio.gather(
@@ -295,9 +299,7 @@
             return None
         if end_reason is LinkEndReason.RESIGNED:
             return self._start_delay_s()
-        others = self._other_peers(holder)
-        sample = self.parts.rng.sample(others, min(ASKED_VM_COUNT, len(others)))
-        answers = await self._ask_peers(sample)
+        answers = await self._ask_peers(self._sample_peers(holder))
         if any(answer.hears_placer for answer in answers):
             return None
         if answers:
--- a/packages/gateway/peridot_gateway/followers.py
+++ b/packages/gateway/peridot_gateway/followers.py
@@ -40,6 +40,9 @@
 # Short watches notice sooner that an unreachable store is back.
 UNREACHABLE_WATCH_TIMEOUT_S = 0.3
 RETRY_DELAY_S = 0.25
+# The store bills refused calls too, and with many VMs they are most of its calls in an
+# outage. A view must be current again within seconds.
+MAX_RETRY_DELAY_S = 1.0
 
 
 class WatchInterruption(Enum):
@@ -80,6 +83,8 @@
         self.previous_current_at = float("-inf")
         self.changes_not_before = float("-inf")
         self.changed = ChangeSignal()
+        # Number of failed calls since the last response.
+        self.failures = 0
 
     @abstractmethod
     def replace_all(self, objects: tuple[StoredObject, ...], revision: int) -> None:
@@ -114,7 +119,7 @@
         """List and watch until cancelled."""
         while True:
             if not await self._list():
-                await asyncio.sleep(RETRY_DELAY_S)
+                await self._wait_before_retry()
                 continue
             while await self._watch():
                 await asyncio.sleep(self.batch_delay_s)
@@ -147,7 +152,7 @@
             return False
         if isinstance(outcome, StoreUnavailable):
             self._update_reachability(False, outcome.reason)
-            await asyncio.sleep(RETRY_DELAY_S)
+            await self._wait_before_retry()
             return True
         self._update_reachability(True, "watched")
         now = monotonic()
@@ -235,12 +240,22 @@
         versions = (change.version for change in changes)
         self.newest_version = max(self.newest_version, *versions, 0)
 
+    async def _wait_before_retry(self) -> None:
+        """Wait for longer after each failure, but not while changes are missing."""
+        delay_s = RETRY_DELAY_S * 2 ** min(self.failures, 8)
+        deadline = monotonic() + min(delay_s, MAX_RETRY_DELAY_S)
+        self.failures += 1
+        await asyncio.sleep(RETRY_DELAY_S)
+        while not self._is_behind() and (left_s := deadline - monotonic()) > 0:
+            await asyncio.sleep(min(left_s, CONFIRMATION_CHECK_PERIOD_S))
+
     def _update_reachability(self, reachable: bool, reason: str) -> None:
         if reachable != self.reachable:
             event = "source_regained" if reachable else "source_lost"
             self._log_watch(event, reason=reason)
         self.reachable = reachable
         if reachable:
+            self.failures = 0
             if self.loaded:
                 self.previous_current_at = self.current_at
             self.current_at = monotonic()
--- a/packages/gateway/tests/test_sources.py
+++ b/packages/gateway/tests/test_sources.py
@@ -218,3 +218,23 @@
     # The same after its entry was removed.
     del source.targets["p"]
     assert source.is_address_reused(old)
+
+
+def test_an_unreachable_store_is_called_less_often_after_each_failure(monkeypatch):
+    """Guards against thousands of refused calls when many VMs lose the store."""
+    monkeypatch.setattr(followers_module, "RETRY_DELAY_S", 0.01)
+    monkeypatch.setattr(followers_module, "MAX_RETRY_DELAY_S", 0.08)
+
+    async def scenario():
+        store = MemoryObjectStore()
+        source = TargetSource(store, PlainDialect, MemoryDecisionLog())
+        await store.set_outage(True)
+        task = asyncio.create_task(source.run())
+        await asyncio.sleep(0.8)
+        assert 4 <= store.reads <= 14
+        await store.set_outage(False)
+        await asyncio.sleep(0.12)
+        assert source.reachable and source.failures == 0
+        task.cancel()
+
+    asyncio.run(scenario())
