Go on under a new term when the restored copy has the placer's last record

Cause: if the copy is younger than the placer's last heartbeat, its next write passes the check of the revision; the placer took that for another's record and ended, and keys were unserved for 11.5 s. It now reads the record and continues as after any restore.

Tests for four rules after a restore: each fails in a scratch copy without its rule (unowned keys, replaced targets, moves under way, uncertain owners).

--- a/packages/ownership/peridot_ownership/recorder.py
+++ b/packages/ownership/peridot_ownership/recorder.py
@@ -141,8 +141,13 @@
         outcome = await self._write_record(self.record, self.version)
         if isinstance(outcome, Written):
             if version_era(outcome.version) != version_era(self.version):
-                # It replaced a record of the new era that has the same revision.
-                raise TermLost("the store was restored during a write")
+                # The copy has the record at the same revision. It is the one that this
+                # placer wrote last, unless another acquired a term since, within the
+                # time between two writes, and got the same revision for its record.
+                self.waiters += waiters
+                self.write_requested.set()
+                await self._check_found(await self._read_record())
+                return
             self._confirm(started_at, outcome.version)
             for waiter in waiters:
                 if not waiter.done():
@@ -193,11 +198,12 @@
         if isinstance(outcome, StoreUnavailable):
             return
         found = await self._read_record()
-        if not isinstance(found, StoreUnavailable):
-            await self._check_found(found)
+        await self._check_found(found)
 
-    async def _check_found(self, found: StoredObject | Missing) -> None:
+    async def _check_found(self, found: ReadOutcome) -> None:
         """Continue from the record that is stored now; raise TermLost."""
+        if isinstance(found, StoreUnavailable):
+            return
         era = found.era if isinstance(found, Missing) else version_era(found.version)
         if era > version_era(self.version):
             await self._renumber_term(found, era)
--- a/packages/ownership/tests/test_placer.py
+++ b/packages/ownership/tests/test_placer.py
@@ -6,11 +6,13 @@
 import asyncio
 from contextlib import asynccontextmanager
 from dataclasses import replace
+from time import monotonic
 
 import pytest
 
 from peridot_fakes.holders import MemoryLeaseClient
-from peridot_objects.objects import MemoryObjectStore
+from peridot_objects.objects import MemoryObjectStore, ObjectStore
+from peridot_objects.outcomes import StoreUnavailable
 from peridot_ownership import (
     granter as granter_module,
     placer as placer_module,
@@ -56,6 +58,7 @@
         "RENEWAL_PERIOD_S": 0.05,
         "PLAN_PERIOD_S": 0.02,
         "ANNOUNCE_DELAY_S": 0.001,
+        "CONFIRMATION_TIMEOUT_S": 0.3,
     }.items():
         monkeypatch.setattr(placer_module, name, value)
     for name, value in {
@@ -159,9 +162,12 @@
         return {item.owner for item in table.ranges}
 
 
-async def wait_until(placer: Placer, condition, limit_s: float = 2.0) -> None:
+async def wait_until(
+    placer: Placer, condition, limit_s: float = 2.0, idle: bool = True
+) -> None:
+    """Wait for a condition, and until the placer moves no keys if it must be idle."""
     async with asyncio.timeout(limit_s):
-        while not condition() or any(placer.moving.values()):
+        while not condition() or (idle and any(placer.moving.values())):
             await asyncio.sleep(0.01)
 
 
@@ -627,3 +633,136 @@
             assert parse_record(found.value).holder == holder
 
     run(check())
+
+
+class CutStore(ObjectStore):
+    """A store that one placer can lose while others reach it."""
+
+    def __init__(self, inner: MemoryObjectStore) -> None:
+        self.inner = inner
+        self.cut = False
+
+    async def list(self, kinds):
+        return await self.inner.list(kinds)
+
+    async def read(self, kind, name):
+        if self.cut:
+            return StoreUnavailable("cut off")
+        return await self.inner.read(kind, name)
+
+    async def write(self, kind, name, value, expected):
+        if self.cut:
+            return StoreUnavailable("cut off")
+        return await self.inner.write(kind, name, value, expected)
+
+    async def delete(self, kind, name, expected):
+        return await self.inner.delete(kind, name, expected)
+
+    async def watch(self, kinds, since, timeout_s):
+        return await self.inner.watch(kinds, since, timeout_s)
+
+
+class LostTerm:
+    """A placer that loses the store while another has a term that a restore loses."""
+
+    def __init__(self, names: str) -> None:
+        self.harness = PlacerHarness(names)
+
+    @asynccontextmanager
+    async def run_first(self):
+        async with self.harness.run_placer("vm1") as placer:
+            self.store = placer.record_writer.store = CutStore(self.harness.store)
+            yield placer
+
+    @asynccontextmanager
+    async def lose(self, names: str):
+        """Run another placer with some targets, then restore the store without it."""
+        copy = self.harness.store.take_copy()
+        self.store.cut = True
+        self.harness.view = FixedView(names)
+        async with self.harness.run_placer("vm2", NO_EARLIER_LEASES) as rival:
+            yield rival
+        await self.harness.store.restore(copy)
+        self.store.cut = False
+
+
+def test_keys_without_an_owner_may_have_one_by_a_lost_term():
+    async def check():
+        lost = LostTerm("")
+        harness = lost.harness
+        async with lost.run_first() as placer:
+            await wait_until(placer, lambda: SERVICE in placer.record.tables)
+            await placer.record_writer.write()
+            async with lost.lose("a") as rival:
+                await wait_until(rival, lambda: harness.owners(rival) == {"a"})
+            await wait_until(placer, lambda: placer.record.term > 1)
+            placer.view.targets = FixedView("b").targets
+            await wait_until(placer, lambda: harness.owners(placer) == {"b"})
+        assert not harness.lease_client.violations
+
+    run(check())
+
+
+def test_keys_of_a_replaced_target_may_have_been_moved_by_a_lost_term():
+    async def check():
+        lost = LostTerm("a")
+        harness = lost.harness
+        async with lost.run_first() as placer:
+            await wait_until(placer, lambda: harness.owners(placer) == {"a"})
+            await placer.record_writer.write()
+            harness.lease_client.holder("a").replaced = True
+            harness.lease_client.holder("a").held.clear()
+            async with lost.lose("b") as rival:
+                await wait_until(rival, lambda: harness.owners(rival) == {"b"})
+            await wait_until(placer, lambda: placer.record.term > 1)
+            placer.view.targets = FixedView("a c").targets
+            await wait_until(placer, lambda: harness.owners(placer) == {"c"})
+        assert not harness.lease_client.violations
+
+    run(check())
+
+
+def test_a_lost_term_may_have_renewed_the_lease_of_keys_that_were_moving():
+    async def check():
+        lost = LostTerm("a")
+        harness = lost.harness
+        release = harness.lease_client.release
+
+        async def release_and_cut(*call):
+            outcome = await release(*call)
+            lost.store.cut = True
+            return outcome
+
+        async with lost.run_first() as placer:
+            await wait_until(placer, lambda: harness.owners(placer) == {"a"})
+            await placer.record_writer.write()
+            harness.lease_client.release = release_and_cut
+            placer.view.targets = FixedView("b").targets
+            await wait_until(placer, lambda: harness.lease_client.releases, idle=False)
+            async with lost.lose("a") as rival:
+                holder = harness.lease_client.holder("a")
+                await wait_until(rival, lambda: holder.holds(0, monotonic()))
+            await wait_until(placer, lambda: harness.owners(placer) == {"b"})
+            await asyncio.sleep(RENEWAL_PERIOD_S)
+        assert not harness.lease_client.violations
+
+    run(check())
+
+
+def test_a_write_by_a_reissued_revision_does_not_confirm_a_term():
+    async def check():
+        harness = PlacerHarness("a")
+        found = await harness.store.read(RECORD_KIND, RECORD_NAME)
+        holder = DaemonInstance("vm1", "vm1-1", "127.0.0.1:1")
+        first = await acquire_term(harness.store, holder, found, harness.log)
+        copy = harness.store.take_copy()
+        await first._write_once()
+        await harness.store.restore(copy)
+        found = await harness.store.read(RECORD_KIND, RECORD_NAME)
+        other = DaemonInstance("vm2", "vm2-1", "127.0.0.1:1")
+        assert await acquire_term(harness.store, other, found, harness.log)
+        confirmed_at = first.confirmed_at
+        await first._write_once()
+        assert first.confirmed_at == confirmed_at or first.record.term > 262_144
+
+    run(check())
