Send requests in flight as counts, and the list of members seldom in large fleets

Cause: the placer sent each VM the names and counts of all busy targets four times a second, 4.2 KB at 331 targets, computed anew for each VM from the reports of all; and the list of all VMs to all VMs whenever one joined or left, 195 times at a start.

Change: totals are made once for all members and sent as counts (335 bytes), names only when the targets change; a VM takes its own share off. Lists of 16 members and more wait 5 ms per member.

--- a/packages/gateway/peridot_gateway/estimates.py
+++ b/packages/gateway/peridot_gateway/estimates.py
@@ -44,6 +44,8 @@
     """Load, processing time and failures of one target, as estimated by this VM."""
 
     in_flight: int = 0
+    # Requests in flight at the last report to the placer.
+    reported_in_flight: int = 0
     # Requests in flight from other VMs, and when they were reported (s).
     others_in_flight: int = 0
     others_updated_at: float = float("-inf")
@@ -181,12 +183,13 @@
         finally:
             estimate.in_flight -= 1
 
-    def set_others_in_flight(self, in_flight: Mapping[str, int]) -> None:
-        """Set the requests in flight from all other VMs, by target."""
+    def set_in_flight_totals(self, totals: Mapping[str, int]) -> None:
+        """Set the requests in flight from all VMs, this one included, by target."""
         now = monotonic()
-        for name in self.targets.keys() | in_flight.keys():
+        for name in self.targets.keys() | totals.keys():
             estimate = self.get(name)
-            estimate.others_in_flight = in_flight.get(name, 0)
+            others = totals.get(name, 0) - estimate.reported_in_flight
+            estimate.others_in_flight = max(0, others)
             estimate.others_updated_at = now
 
     def mark_gone(self, target: str) -> None:
--- a/packages/gateway/peridot_gateway/fleet.py
+++ b/packages/gateway/peridot_gateway/fleet.py
@@ -358,9 +358,8 @@
 
     def _report_locally(self) -> None:
         self.parts.load.record_report(self.build_report())
-        self.parts.estimates.set_others_in_flight(
-            self.parts.load.others_in_flight(self.local_instance.vm)
-        )
+        totals = self.parts.load.in_flight_totals()
+        self.parts.estimates.set_in_flight_totals(totals)
         self.follower.peers.update(
             [self.local_instance, *self.leader.roster.instances()]
         )
@@ -380,6 +379,7 @@
         for name, started_ms in self.parts.load.targets.announced_leaving.items():
             report.targets.add(target=name, leaving=True, started_ms=started_ms)
         for name, item in self.parts.estimates.targets.items():
+            item.reported_in_flight = item.in_flight
             if item.in_flight or item.finished or item.failed:
                 report.targets.add(
                     target=name,
--- a/packages/gateway/peridot_gateway/fleetload.py
+++ b/packages/gateway/peridot_gateway/fleetload.py
@@ -1,5 +1,6 @@
 """Load of the whole fleet, aggregated by the placer from the VMs' reports."""
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -71,12 +72,9 @@
         """Drop the requests in flight of a VM that left."""
         self.in_flight.pop(vm, None)
 
-    def others_in_flight(self, vm: str) -> dict[str, int]:
-        """Return the requests in flight by target, from all VMs except one."""
-        totals: dict[str, int] = {}
-        for name, by_target in self.in_flight.items():
-            if name == vm:
-                continue
-            for target, count in by_target.items():
-                totals[target] = totals.get(target, 0) + count
+    def in_flight_totals(self) -> Counter[str]:
+        """Return the requests in flight from all VMs by target."""
+        totals: Counter[str] = Counter()
+        for by_target in self.in_flight.values():
+            totals.update(by_target)
         return totals
--- a/packages/gateway/peridot_gateway/following.py
+++ b/packages/gateway/peridot_gateway/following.py
@@ -50,6 +50,8 @@
         self.observed_placer: ObservedPlacer | None = None
         # Newest versions of configuration and targets that the placer knows.
         self.latest_versions: tuple[int, int] = (0, 0)
+        # The targets whose requests in flight the placer sends, in its order.
+        self.in_flight_names: list[str] = []
 
     def is_connected(self) -> bool:
         """Return whether the link to the placer is up and its last state is recent."""
@@ -109,9 +111,11 @@
         else:
             self.peers.update(self.peers.instances)
         self._apply_target_entries(state)
-        if state.targets_listed:
-            in_flight = {item.target: item.in_flight for item in state.targets}
-            self.estimates.set_others_in_flight(in_flight)
+        if state.in_flight_names:
+            self.in_flight_names = list(state.in_flight_names)
+        if len(state.in_flight_counts) == len(self.in_flight_names):
+            totals = zip(self.in_flight_names, state.in_flight_counts, strict=True)
+            self.estimates.set_in_flight_totals(dict(totals))
 
     def _apply_target_entries(self, state: pb.FleetState) -> None:
         """Apply the changes of targets that the placer pushed, if there are any."""
--- a/packages/gateway/peridot_gateway/states.py
+++ b/packages/gateway/peridot_gateway/states.py
@@ -12,6 +12,11 @@
 
 # Requests in flight change within the processing time of a request.
 IN_FLIGHT_PERIOD_S = 0.25
+# The list of members is sent at most this often per member of the list: it changes with
+# each VM that starts or stops, and has an entry for each.
+ROSTER_PERIOD_S = 0.005
+# A list of fewer members is sent whenever it changes.
+SMALL_ROSTER = 16
 
 
 @dataclass
@@ -20,7 +25,9 @@
 
     sequence: int = 0
     roster_version: int = -1
+    roster_sent_at: float = float("-inf")
     in_flight_sent_at: float = float("-inf")
+    in_flight_names: tuple[str, ...] = ()
     # TargetSource.change_count at the last message; None before the first list.
     change_count: int | None = None
 
@@ -35,8 +42,12 @@
     # The last serialized tables, and their term and sequence.
     tables: list[pb.OwnerTable] = field(default_factory=list)
     tables_version: tuple[int, int] | None = None
+    # The last counts of requests in flight and their targets, and when they were made.
+    in_flight_names: tuple[str, ...] = ()
+    in_flight_counts: list[int] = field(default_factory=list)
+    in_flight_at: float = float("-inf")
 
-    def build_state(self, placer: Placer, vm: str, sent: SentState) -> pb.FleetState:
+    def build_state(self, placer: Placer, sent: SentState) -> pb.FleetState:
         """Return the state for a member, without what it has been sent already."""
         store_reachable = not placer.record_writer.store_lost
         state = pb.FleetState(
@@ -51,11 +62,12 @@
         if placer.sequence != sent.sequence:
             state.tables.extend(self.current_tables(placer))
             sent.sequence = placer.sequence
-        if self.roster.version != sent.roster_version:
+        if self.roster.version != sent.roster_version and self._is_roster_due(sent):
             self._add_members(state)
             sent.roster_version = self.roster.version
+            sent.roster_sent_at = monotonic()
         if monotonic() >= sent.in_flight_sent_at + IN_FLIGHT_PERIOD_S:
-            self._add_in_flight(state, vm)
+            self._add_in_flight(state, sent)
             sent.in_flight_sent_at = monotonic()
         if self.load.targets.reachable and self.load.targets.loaded:
             self._add_target_entries(state, sent)
@@ -95,7 +107,20 @@
                 cores=holder.cores,
             )
 
-    def _add_in_flight(self, state: pb.FleetState, vm: str) -> None:
-        state.targets_listed = True
-        for name, count in self.load.others_in_flight(vm).items():
-            state.targets.add(target=name, in_flight=count)
+    def _is_roster_due(self, sent: SentState) -> bool:
+        count = len(self.roster.members)
+        if count < SMALL_ROSTER:
+            return True
+        return monotonic() >= sent.roster_sent_at + ROSTER_PERIOD_S * count
+
+    def _add_in_flight(self, state: pb.FleetState, sent: SentState) -> None:
+        now = monotonic()
+        if now >= self.in_flight_at + IN_FLIGHT_PERIOD_S / 2:
+            totals = self.load.in_flight_totals()
+            self.in_flight_names = tuple(self.load.targets.targets)
+            self.in_flight_counts = [totals[name] for name in self.in_flight_names]
+            self.in_flight_at = now
+        if sent.in_flight_names != self.in_flight_names:
+            state.in_flight_names.extend(self.in_flight_names)
+            sent.in_flight_names = self.in_flight_names
+        state.in_flight_counts.extend(self.in_flight_counts)
--- a/packages/gateway/tests/test_estimates.py
+++ b/packages/gateway/tests/test_estimates.py
@@ -51,3 +51,15 @@
     for _ in range(60):
         estimate.record_response(0.12, 2, ReportedLoad(6, 24, 6), 0.0)
     assert estimate.processing_s == pytest.approx(0.12)
+
+
+def test_requests_in_flight_of_this_vm_are_not_counted_twice():
+    """The placer sends the same totals to all VMs."""
+    estimates = Estimates()
+    estimates.get("t").reported_in_flight = 2
+    estimates.set_in_flight_totals({"t": 5, "u": 1})
+    assert estimates.get("t").others_in_flight == 3
+    assert estimates.get("u").others_in_flight == 1
+    estimates.set_in_flight_totals({"t": 1})
+    assert estimates.get("t").others_in_flight == 0
+    assert estimates.get("u").others_in_flight == 0
