Send members the changes of the owner tables instead of whole tables

Now members get the changes since the sequence that they have, made once for all of them; all tables at the start of a link, of a term, and after more than 16 changes. Changes of other tables than a member has end its link, which begins again with all tables.

--- a/packages/gateway/peridot_gateway/following.py
+++ b/packages/gateway/peridot_gateway/following.py
@@ -8,6 +8,7 @@
 from peridot_gateway.messages import (
     parse_entry,
     parse_leaving_times,
+    parse_patches,
     parse_resignation,
     parse_tables,
 )
@@ -103,6 +104,13 @@
         if state.tables:
             tables = parse_tables(state.tables)
             self.owners.update(state.term, state.sequence, tables)
+        elif state.patches:
+            self.owners.patch(
+                state.term,
+                state.sequence,
+                state.patched_sequence,
+                parse_patches(state.patches),
+            )
         if state.members_listed:
             self.peers.update(
                 DaemonInstance(m.vm, m.instance, m.peer_address, m.cores)
--- a/packages/gateway/peridot_gateway/messages.py
+++ b/packages/gateway/peridot_gateway/messages.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Mapping
 from math import ceil
 
-from peridot_gateway.owners import OwnerTable
+from peridot_gateway.owners import OwnerChange, OwnerTable
 from peridot_objects.outcomes import Change, DeletedObject, StoredObject
 from peridot_ownership.holds import KeyLease
 from peridot_ownership.ranges import KeyRange
@@ -44,6 +44,34 @@
     }
 
 
+def serialize_patch(service: str, changes: list[OwnerChange]) -> pb.OwnerPatch:
+    """Return the message of the changes of a service's owner table."""
+    indexes: dict[str, int] = {}
+    owners = [indexes.setdefault(item.owner, len(indexes)) for item in changes]
+    return pb.OwnerPatch(
+        service=service,
+        starts=[item.start for item in changes],
+        ends=[item.end for item in changes],
+        names=indexes,
+        owners=owners,
+    )
+
+
+def parse_patches(
+    messages: Iterable[pb.OwnerPatch],
+) -> dict[str, list[OwnerChange]]:
+    """Return the changes of owner tables by service."""
+    return {
+        message.service: [
+            OwnerChange(start, end, message.names[index])
+            for start, end, index in zip(
+                message.starts, message.ends, message.owners, strict=True
+            )
+        ]
+        for message in messages
+    }
+
+
 def serialize_resignation(
     term: int, earlier_leases: EarlierLeases, now: float
 ) -> pb.FleetState:
--- a/packages/gateway/peridot_gateway/owners.py
+++ b/packages/gateway/peridot_gateway/owners.py
@@ -1,13 +1,18 @@
 """Owners: this VM's view of which target owns which keys."""
 
 from bisect import bisect_right
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
 from time import monotonic
 
+from peridot_ownership.ranges import KEY_SPACE
 from peridot_placement.signals import ChangeSignal
 
 
+class PatchMismatch(ConnectionError):
+    """Raised for changes of other tables than the present ones: get all tables."""
+
+
 @dataclass(frozen=True)
 class OwnerTable:
     """The owner of each key range of one service; an empty string for none."""
@@ -20,6 +25,49 @@
         return self.owners[bisect_right(self.starts, key) - 1]
 
 
+@dataclass(frozen=True)
+class OwnerChange:
+    """The new owner of the keys from start to end - 1; an empty string for none."""
+
+    start: int
+    end: int
+    owner: str
+
+
+def diff_tables(old: OwnerTable, new: OwnerTable) -> list[OwnerChange]:
+    """Return the changes that turn one table into another."""
+    changes: list[OwnerChange] = []
+    starts = sorted({*old.starts, *new.starts})
+    for start, end in zip(starts, [*starts[1:], KEY_SPACE], strict=True):
+        owner = new.find(start)
+        if old.find(start) == owner:
+            continue
+        last = changes[-1] if changes else None
+        if last is not None and (last.end, last.owner) == (start, owner):
+            changes[-1] = replace(last, end=end)
+        else:
+            changes.append(OwnerChange(start, end, owner))
+    return changes
+
+
+def patch_table(table: OwnerTable, changes: Iterable[OwnerChange]) -> OwnerTable:
+    """Return a table with changes applied; adjacent ranges of an owner are merged."""
+    changes = list(changes)
+    starts = {*table.starts}
+    for change in changes:
+        starts |= {change.start, change.end}
+    starts.discard(KEY_SPACE)
+    rows: list[tuple[int, str]] = []
+    for start in sorted(starts):
+        owner = table.find(start)
+        for change in changes:
+            if change.start <= start < change.end:
+                owner = change.owner
+        if not rows or rows[-1][1] != owner:
+            rows.append((start, owner))
+    return OwnerTable(tuple(r[0] for r in rows), tuple(r[1] for r in rows))
+
+
 @dataclass
 class Owners:
     """The newest owner tables that a placer sent, by service."""
@@ -47,6 +95,24 @@
         self.changed.notify()
         return True
 
+    def patch(
+        self,
+        term: int,
+        sequence: int,
+        patched_sequence: int,
+        patches: dict[str, list[OwnerChange]],
+    ) -> None:
+        """Apply changes to the tables of a sequence; raise PatchMismatch for others."""
+        if (term, patched_sequence) != (self.term, self.sequence):
+            raise PatchMismatch(
+                f"has {self.term}.{self.sequence}, got {term}.{patched_sequence}"
+            )
+        tables = {
+            service: patch_table(table, patches.get(service, ()))
+            for service, table in self.tables.items()
+        }
+        self.update(term, sequence, tables)
+
     def find(self, service: str, key: int) -> str:
         """Return the owner of a key, or an empty string."""
         table = self.tables.get(service)
--- a/packages/gateway/peridot_gateway/states.py
+++ b/packages/gateway/peridot_gateway/states.py
@@ -4,7 +4,14 @@
 from time import monotonic
 
 from peridot_gateway.fleetload import FleetLoad
-from peridot_gateway.messages import serialize_age, serialize_entry, serialize_tables
+from peridot_gateway.messages import (
+    parse_tables,
+    serialize_age,
+    serialize_entry,
+    serialize_patch,
+    serialize_tables,
+)
+from peridot_gateway.owners import OwnerTable, diff_tables
 from peridot_gateway.roster import Roster
 from peridot_ownership.placer import Placer
 from peridot_ownership.record import DaemonInstance
@@ -17,12 +24,15 @@
 ROSTER_PERIOD_S = 0.005
 # A list of fewer members is sent whenever it changes.
 SMALL_ROSTER = 16
+# Number of last tables that are kept to send members the changes since.
+KEPT_TABLES = 16
 
 
 @dataclass
 class SentState:
     """What has been sent to one member."""
 
+    term: int = 0
     sequence: int = 0
     roster_version: int = -1
     roster_sent_at: float = float("-inf")
@@ -42,6 +52,9 @@
     # The last serialized tables, and their term and sequence.
     tables: list[pb.OwnerTable] = field(default_factory=list)
     tables_version: tuple[int, int] | None = None
+    # The last tables by sequence, and the changes since each of them.
+    parsed_tables: dict[int, dict[str, OwnerTable]] = field(default_factory=dict)
+    patches: dict[int, list[pb.OwnerPatch]] = field(default_factory=dict)
     # The last counts of requests in flight and their targets, and when they were made.
     in_flight_names: tuple[str, ...] = ()
     in_flight_counts: list[int] = field(default_factory=list)
@@ -60,7 +73,7 @@
             targets_age_ms=serialize_age(self.load.targets.age_s),
         )
         if placer.sequence != sent.sequence:
-            state.tables.extend(self.current_tables(placer))
+            self._add_tables(state, placer, sent)
             sent.sequence = placer.sequence
         if self.roster.version != sent.roster_version and self._is_roster_due(sent):
             self._add_members(state)
@@ -77,10 +90,41 @@
         """Return the owner tables, serialized once for all members."""
         current = placer.record.term, placer.sequence
         if current != self.tables_version:
+            if self.tables_version is None or self.tables_version[0] != current[0]:
+                self.parsed_tables.clear()
             self.tables = serialize_tables(placer.routable_tables())
             self.tables_version = current
+            self.patches.clear()
+            self.parsed_tables[placer.sequence] = parse_tables(self.tables)
+            while len(self.parsed_tables) > KEPT_TABLES:
+                del self.parsed_tables[min(self.parsed_tables)]
         return self.tables
 
+    def _add_tables(
+        self, state: pb.FleetState, placer: Placer, sent: SentState
+    ) -> None:
+        """Add the changes since a member's tables, or all tables if that is less."""
+        tables = self.current_tables(placer)
+        patches = self._find_patches(placer.sequence, sent.sequence)
+        if sent.term == placer.record.term and patches:
+            state.patches.extend(patches)
+            state.patched_sequence = sent.sequence
+        else:
+            state.tables.extend(tables)
+        sent.term = placer.record.term
+
+    def _find_patches(self, sequence: int, since: int) -> list[pb.OwnerPatch]:
+        """Return the changes since a sequence, empty if all tables must be sent."""
+        if since not in self.patches:
+            old, new = self.parsed_tables.get(since), self.parsed_tables[sequence]
+            self.patches[since] = []
+            if old is not None and old.keys() == new.keys():
+                self.patches[since] = [
+                    serialize_patch(service, diff_tables(old[service], new[service]))
+                    for service in new
+                ]
+        return self.patches[since]
+
     def _add_target_entries(self, state: pb.FleetState, sent: SentState) -> None:
         """Add the changes of targets, so that members need no watch of the store."""
         targets = self.load.targets
--- /dev/null
+++ b/packages/gateway/tests/test_owner_patches.py
@@ -0,0 +1,61 @@
+"""Pattern: keys move often in a large fleet, and each change goes to every VM."""
+
+import random
+
+import pytest
+from hypothesis import given, strategies as st
+
+from peridot_gateway.messages import (
+    parse_patches,
+    parse_tables,
+    serialize_patch,
+    serialize_tables,
+)
+from peridot_gateway.owners import (
+    Owners,
+    OwnerTable,
+    PatchMismatch,
+    diff_tables,
+    patch_table,
+)
+from peridot_ownership.ranges import KEY_SPACE
+
+starts = st.sets(st.integers(1, KEY_SPACE - 1), max_size=12)
+seeds = st.integers(0, 10_000)
+
+
+def make_table(boundaries, seed) -> OwnerTable:
+    rng = random.Random(seed)
+    rows = [0, *sorted(boundaries)]
+    return OwnerTable(tuple(rows), tuple(rng.choice(["", "a", "b"]) for _ in rows))
+
+
+@given(starts, seeds, starts, seeds)
+def test_a_patched_table_has_the_owners_of_the_new_one(old, old_seed, new, new_seed):
+    before, after = make_table(old, old_seed), make_table(new, new_seed)
+    message = serialize_patch("files", diff_tables(before, after))
+    patched = patch_table(before, parse_patches([message])["files"])
+    probes = {0, KEY_SPACE - 1, *old, *new, *(start - 1 for start in old | new)}
+    assert all(patched.find(key) == after.find(key) for key in probes)
+
+
+def test_a_change_of_one_range_is_small():
+    rows = [(start, f"i-{start:08x}") for start in range(0, KEY_SPACE, 150)]
+    changed = [(s, "" if s == 300 else owner) for s, owner in rows]
+    (before,) = parse_tables(serialize_tables({"files": rows})).values()
+    (after,) = parse_tables(serialize_tables({"files": changed})).values()
+    message = serialize_patch("files", diff_tables(before, after))
+    whole = serialize_tables({"files": changed})[0]
+    assert message.ByteSize() < whole.ByteSize() / 100
+
+
+def test_changes_of_other_tables_are_refused():
+    """The link is opened again then, and begins with all tables."""
+    owners = Owners()
+    owners.update(2, 5, {"files": OwnerTable((0,), ("a",))})
+    changes = diff_tables(owners.tables["files"], OwnerTable((0,), ("b",)))
+    for term, sequence in ((2, 4), (3, 5)):
+        with pytest.raises(PatchMismatch):
+            owners.patch(term, 9, sequence, {"files": changes})
+    owners.patch(2, 6, 5, {"files": changes})
+    assert owners.find("files", 7) == "b" and owners.sequence == 6
