--- a/packages/gateway/peridot_gateway/fleet.py
+++ b/packages/gateway/peridot_gateway/fleet.py
@@ -372,6 +372,7 @@
             data_centre=self.data_centre,
             peer_address=self.local_instance.address,
             cores=self.local_instance.cores,
+            accepts_patches=True,
             keys=serialize_keys(self.parts.router.pop_key_counts()),
             store_reachable=self._is_store_reachable(),
             leaving=self.leaving,
--- a/packages/gateway/peridot_gateway/leading.py
+++ b/packages/gateway/peridot_gateway/leading.py
@@ -137,7 +137,7 @@
     def build_state(self, vm: str, sent: SentState) -> pb.FleetState:
         """Return the next state message for a member."""
         if self.placer is not None:
-            return self.states.build_state(self.placer, sent)
+            return self.states.build_state(self.placer, vm, sent)
         if self.resignation is None:
             return pb.FleetState(leading=False)
         # Remaining times count from the receipt of the message, which is later: safe.
--- a/packages/gateway/peridot_gateway/roster.py
+++ b/packages/gateway/peridot_gateway/roster.py
@@ -24,6 +24,7 @@
     store_reachable: bool
     leaving: bool
     last_report_at: float
+    accepts_patches: bool
 
 
 @dataclass
@@ -41,7 +42,11 @@
         )
         previous = self.members.get(report.vm)
         self.members[report.vm] = Member(
-            daemon_instance, report.store_reachable, report.leaving, monotonic()
+            daemon_instance,
+            report.store_reachable,
+            report.leaving,
+            monotonic(),
+            report.accepts_patches,
         )
         if previous is None or previous.daemon_instance != daemon_instance:
             self.version += 1
@@ -70,6 +75,11 @@
         oldest = monotonic() - MEMBER_FRESH_S
         return sum(member.last_report_at > oldest for member in self.members.values())
 
+    def accepts_patches(self, vm: str) -> bool:
+        """Return whether a member reads changes of tables; earlier builds don't."""
+        member = self.members.get(vm)
+        return member is not None and member.accepts_patches
+
     def any_reaches_store(self) -> bool:
         """Return whether any member can reach the store."""
         return any(member.store_reachable for member in self.members.values())
--- a/packages/gateway/peridot_gateway/states.py
+++ b/packages/gateway/peridot_gateway/states.py
@@ -60,7 +60,7 @@
     in_flight_counts: list[int] = field(default_factory=list)
     in_flight_at: float = float("-inf")
 
-    def build_state(self, placer: Placer, sent: SentState) -> pb.FleetState:
+    def build_state(self, placer: Placer, vm: str, sent: SentState) -> pb.FleetState:
         """Return the state for a member, without what it has been sent already."""
         store_reachable = not placer.record_writer.store_lost
         state = pb.FleetState(
@@ -73,7 +73,7 @@
             targets_age_ms=serialize_age(self.load.targets.age_s),
         )
         if placer.sequence != sent.sequence:
-            self._add_tables(state, placer, sent)
+            self._add_tables(state, placer, vm, sent)
             sent.sequence = placer.sequence
         if self.roster.version != sent.roster_version and self._is_roster_due(sent):
             self._add_members(state)
@@ -101,12 +101,13 @@
         return self.tables
 
     def _add_tables(
-        self, state: pb.FleetState, placer: Placer, sent: SentState
+        self, state: pb.FleetState, placer: Placer, vm: str, sent: SentState
     ) -> None:
         """Add the changes since a member's tables, or all tables if that is less."""
         tables = self.current_tables(placer)
         patches = self._find_patches(placer.sequence, sent.sequence)
-        if sent.term == placer.record.term and patches:
+        is_current_term = sent.term == placer.record.term
+        if is_current_term and patches and self.roster.accepts_patches(vm):
             state.patches.extend(patches)
             state.patched_sequence = sent.sequence
         else:
--- a/packages/gateway/tests/test_connections.py
+++ b/packages/gateway/tests/test_connections.py
@@ -24,13 +24,14 @@
 
 
 class SignedDialect:
-    """A dialect that adds no headers and accepts any response."""
+    """A dialect that accepts any response with the id of its request, or with none."""
 
     def build_target_headers(self, request, target, remaining_s):
-        return [("Host", "a.example")]
+        return [("Host", "a.example"), ("Id", request.request_id)]
 
     def parse_response_headers(self, status, headers, request):
-        return ResponseHeaders(False, False, None, False, True, None, None)
+        other = headers.get("Id", request.request_id) != request.request_id
+        return ResponseHeaders(False, False, None, other, True, None, None)
 
 
 class ForgetfulTarget:
@@ -149,3 +150,37 @@
         assert len(sender.connections["t"].in_flight) == 1
 
     run_with_target(scenario)
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+@pytest.mark.parametrize("delay_s", [0.0, 0.02])
+def test_a_late_copy_of_a_response_reaches_nobody(
+    idempotent, delay_s, make_request, make_target
+):
+    """Pattern: the copy arrives where the response to the next request is due."""
+
+    async def serve(reader, writer):
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                request_id = head.partition(b"Id: ")[2].partition(b"\r")[0]
+                response = RESPONSE.replace(b"\r\n\r\n", b"\r\nId: %b\r\n\r\n")
+                writer.write(response % request_id)
+                await asyncio.sleep(delay_s)
+                writer.write(response % request_id)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            writer.close()
+
+    async def scenario():
+        (port,) = free_ports(1)
+        sender = Sender(SignedDialect(), Estimates(), MemoryDecisionLog())
+        target = replace(make_target("t"), address=f"127.0.0.1:{port}")
+        async with await asyncio.start_server(serve, "127.0.0.1", port):
+            for number in range(6):
+                request = replace(make_request(idempotent), request_id=f"id-{number}")
+                result = await sender.attempt(request, target, REMAINING_S)
+                if isinstance(result.outcome, Answered):
+                    assert dict(result.outcome.headers)["Id"] == f"id-{number}"
+            await sender.close()
+
+    asyncio.run(scenario())
--- a/packages/gateway/tests/test_leading.py
+++ b/packages/gateway/tests/test_leading.py
@@ -19,6 +19,7 @@
 from peridot_objects.outcomes import Missing
 from peridot_ownership import recorder as recorder_module
 from peridot_ownership.placer import Placer
+from peridot_ownership.ranges import KeyRange, RangeTable
 from peridot_ownership.record import DaemonInstance
 from peridot_ownership.recorder import acquire_term
 from peridot_ownership.rights import NO_EARLIER_LEASES
@@ -174,3 +175,29 @@
             assert states[0].tables == states[2].tables
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("accepts", [True, False])
+def test_changes_of_tables_go_to_members_that_read_them(accepts):
+    """Members of an earlier build need whole tables, also during an update."""
+
+    async def scenario():
+        async with lead() as (_, leader, _):
+            report = make_report(True)
+            report.accepts_patches = accepts
+            leader.handle_report(report)
+            tables = leader.placer.record.tables
+            tables["files"] = RangeTable()
+            leader.placer.sequence += 1
+            sent = SentState()
+            first = leader.build_state(report.vm, sent)
+            assert first.tables and not first.patches
+            tables["files"].assign(KeyRange(5, 9), "t-1", 1)
+            leader.placer.sequence += 1
+            second = leader.build_state(report.vm, sent)
+            assert bool(second.patches) == accepts
+            assert bool(second.tables) != accepts
+            if accepts:
+                assert second.patched_sequence == first.sequence
+
+    asyncio.run(scenario())
