--- a/packages/gateway/peridot_gateway/daemon.py
+++ b/packages/gateway/peridot_gateway/daemon.py
@@ -105,7 +105,9 @@
         self._set_recovery_times()
         self.estimates = Estimates()
         self.owners = Owners()
-        self.sender = Sender(dialect, self.estimates, log)
+        self.sender = Sender(
+            dialect, self.estimates, log, lambda: self.fleet.count_vms()
+        )
         self.sender.handle_leaving = self._handle_leaving
         self.adapter.lease_client.handle_leaving = self._handle_leaving
         parts = RouterParts(
--- a/packages/gateway/peridot_gateway/sender.py
+++ b/packages/gateway/peridot_gateway/sender.py
@@ -30,7 +30,7 @@
 from peridot_gateway.requests import GatewayRequest, end_to_end_headers
 from peridot_gateway.sockets import ConnectionUse, connection_use, open_connector
 from peridot_placement.decisions import DecisionLog
-from peridot_resources.configuration import TargetInstance
+from peridot_resources.configuration import ServiceConfiguration, TargetInstance
 from peridot_routing.attempts import AIOHTTP_AUTO_HEADERS, BODYLESS_STATUSES
 from peridot_routing.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 
@@ -42,6 +42,10 @@
 # connections are used for requests that may run once: if one is reset, it is unknown
 # whether they ran.
 SAFE_IDLE_S = 0.2
+# Idle connections to a target that are kept: at most this number, and this share of
+# what the target accepts from this VM.
+MAX_IDLE_CONNECTIONS = 4
+IDLE_CONNECTION_SHARE = 0.25
 # For how long idle connections of a target aren't trusted after it has reset one.
 DISTRUST_S = 10.0
 # Leaves time to return a response that arrives just before the deadline.
@@ -164,9 +168,15 @@
     """Send attempts to targets over pooled connections."""
 
     def __init__(
-        self, dialect: Dialect, estimates: Estimates, log: DecisionLog
+        self,
+        dialect: Dialect,
+        estimates: Estimates,
+        log: DecisionLog,
+        count_vms: Callable[[], int] = lambda: 1,
     ) -> None:
         self.dialect = dialect
+        # Number of VMs that share a target's connections.
+        self.count_vms = count_vms
         self.estimates = estimates
         self.log = log
         # Called with a target that announces in a response that it is leaving.
@@ -195,6 +205,8 @@
                     )
                 finally:
                     connection_use.reset(token)
+                max_idle = self._max_idle_connections(request.service)
+                session.connector.close_idle_beyond(max_idle)
             now = monotonic()
             match result.outcome:
                 case Answered(status=status):
@@ -228,6 +240,14 @@
         self._check_reuse(connections, target, use, result)
         return result
 
+    def _max_idle_connections(self, service: ServiceConfiguration) -> int:
+        """Return how many idle connections to keep to each target of a service.
+
+        Targets reset connections beyond a limit for all VMs, and the requests on them.
+        """
+        share = service.max_connections / max(1, self.count_vms())
+        return max(1, min(MAX_IDLE_CONNECTIONS, int(share * IDLE_CONNECTION_SHARE)))
+
     def _check_reuse(
         self,
         connections: TargetConnections,
--- a/packages/gateway/peridot_gateway/sockets.py
+++ b/packages/gateway/peridot_gateway/sockets.py
@@ -103,8 +103,15 @@
             connections.rotate(1)
         return await super()._get(key, traces)
 
+    def close_idle_beyond(self, count: int) -> None:
+        """Close the connections that have been idle the longest, but for a number."""
+        for connections in self._conns.values():
+            while len(connections) > count:
+                protocol, _ = connections.popleft()
+                protocol.close()
 
-def open_connector(**options) -> TCPConnector:
+
+def open_connector(**options) -> IdleLimitConnector:
     """Return a connector without a connection limit, with reset on close."""
     connector = IdleLimitConnector(limit=0, socket_factory=open_socket, **options)
     # aiohttp has no public option to limit a response while it arrives.
--- a/packages/gateway/tests/test_connections.py
+++ b/packages/gateway/tests/test_connections.py
@@ -39,11 +39,12 @@
 
     def __init__(self) -> None:
         self.forgets_after_s: float | None = None
-        self.connections = 0
+        self.connections = self.open = 0
         self.silent = False
 
     async def serve(self, reader, writer) -> None:
         self.connections += 1
+        self.open += 1
         loop = asyncio.get_running_loop()
         idle_since = loop.time()
         try:
@@ -60,6 +61,8 @@
                 idle_since = loop.time()
         except (ConnectionError, asyncio.IncompleteReadError):
             writer.close()
+        finally:
+            self.open -= 1
 
 
 @pytest.fixture
@@ -184,3 +187,23 @@
             await sender.close()
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(("vms", "kept"), [(1, 4), (10, 2), (100, 1)])
+def test_a_burst_leaves_few_idle_connections(vms, kept, run_with_target, make_request):
+    """Pattern: a hot key. Idle connections of all VMs filled a target's limit.
+
+    It then reset new ones, with orders on them.
+    """
+
+    async def scenario(target, sender, instance):
+        sender.count_vms = lambda: vms
+        requests = [make_request() for _ in range(20)]
+        await asyncio.gather(
+            *(sender.attempt(request, instance, REMAINING_S) for request in requests)
+        )
+        await asyncio.sleep(0.05)
+        assert target.connections == 20
+        assert target.open == kept
+
+    run_with_target(scenario)
