--- a/packages/ownership/peridot_ownership/planner.py
+++ b/packages/ownership/peridot_ownership/planner.py
@@ -295,7 +295,7 @@
 def _move_dominant_keys(
     plan: PlanInput, loads: _TargetLoads, owned: dict[str, list[KeyRange]]
 ) -> list[RangeMove]:
-    """Move dominant keys to the fastest target without a dominant key."""
+    """Move dominant keys to the fastest targets without one, the hottest key first."""
     dominant_keys = {
         source: key
         for source, ranges in owned.items()
@@ -303,14 +303,20 @@
         is not None
     }
     moves = []
-    for source, key in dominant_keys.items():
-        free = [name for name in plan.capacities if name not in dominant_keys]
+    free = set(plan.capacities) - dominant_keys.keys()
+    rates = {
+        source: plan.profile.load(KeyRange(key, key + 1))
+        for source, key in dominant_keys.items()
+    }
+    for source in sorted(dominant_keys, key=rates.__getitem__, reverse=True):
+        key = dominant_keys[source]
         fastest = max(free, key=plan.capacities.__getitem__, default=source)
         keys = KeyRange(key, key + 1)
         alone = owned[source] == [keys]
         factor = FASTER_FACTOR_ALONE if alone else FASTER_FACTOR
         if plan.capacities[fastest] > factor * plan.capacities[source]:
-            loads.transfer(plan.profile.load(keys), source, fastest)
+            loads.transfer(rates[source], source, fastest)
+            free.remove(fastest)
             moves.append(RangeMove(keys, source, fastest, "dominant_key"))
     return moves
 
--- a/packages/ownership/tests/test_planner.py
+++ b/packages/ownership/tests/test_planner.py
@@ -136,3 +136,19 @@
     capacities = {"a": 20.0, "b": 35.0, "c": 35.0}
     moves = plan_moves(PlanInput(table, profile, capacities))
     assert all(move.source != "a" for move in moves)
+
+
+def test_two_dominant_keys_of_one_plan_get_two_targets():
+    """Pattern: two hot keys at once. Both went to the fastest free target."""
+    table = RangeTable()
+    for start, owner in ((0, "d"), (1_000, "e"), (2_000, "f"), (3_000, "g")):
+        table.assign(KeyRange(start, start + 1_000), owner, 1)
+    table.assign(KeyRange(4_000, KEY_SPACE), "g", 1)
+    profile = make_profile({5: 8.0, 6: 0.5, 1_005: 9.0, 1_006: 0.5})
+    capacities = {"d": 10.0, "e": 10.0, "f": 20.0, "g": 21.0}
+    moves = [
+        move
+        for move in plan_moves(PlanInput(table, profile, capacities))
+        if move.reason == "dominant_key"
+    ]
+    assert {move.keys.start: move.destination for move in moves} == {1_005: "g", 5: "f"}
