--- a/packages/gateway/peridot_gateway/sender.py
+++ b/packages/gateway/peridot_gateway/sender.py
@@ -205,6 +205,10 @@
                     )
                 finally:
                     connection_use.reset(token)
+                if not use.connected and isinstance(result.outcome, Unknown):
+                    # Out of time, or refused in an unusual way.
+                    detail = f"not connected: {result.outcome.reason}"
+                    result = AttemptResult(NotRun(Reason.TARGET_LOST, detail=detail))
                 max_idle = self._max_idle_connections(request.service)
                 session.connector.close_idle_beyond(max_idle)
             now = monotonic()
--- a/packages/gateway/peridot_gateway/sockets.py
+++ b/packages/gateway/peridot_gateway/sockets.py
@@ -80,6 +80,8 @@
     max_idle_s: float
     # For how long (s) the connection of the request had been idle; None if it is new.
     idle_s: float | None = None
+    # Whether the request got a connection; no byte of it can be sent before.
+    connected: bool = False
 
 
 # How the request of the current task uses connections.
@@ -103,6 +105,14 @@
             connections.rotate(1)
         return await super()._get(key, traces)
 
+    async def connect(self, req, traces, timeout):
+        """Return a connection, and note that the request has got one."""
+        connection = await super().connect(req, traces, timeout)
+        use = connection_use.get()
+        if use is not None:
+            use.connected = True
+        return connection
+
     def close_idle_beyond(self, count: int) -> None:
         """Close the connections that have been idle the longest, but for a number."""
         for connections in self._conns.values():
--- a/packages/gateway/tests/test_connections.py
+++ b/packages/gateway/tests/test_connections.py
@@ -15,8 +15,9 @@
 from peridot_gateway.dialect import ResponseHeaders
 from peridot_gateway.estimates import Estimates
 from peridot_gateway.sender import Sender
+from peridot_gateway.sockets import IdleLimitConnector
 from peridot_placement.decisions import MemoryDecisionLog
-from peridot_routing.outcomes import Answered, Unknown
+from peridot_routing.outcomes import Answered, NotRun, Reason, Unknown
 
 RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 SAFE_IDLE_S = 0.05
@@ -207,3 +208,28 @@
         assert target.open == kept
 
     run_with_target(scenario)
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_a_request_that_got_no_connection_in_time_has_not_run(
+    idempotent, monkeypatch, make_request, make_target
+):
+    """Pattern: a target that is cut off or full, and little time left.
+
+    The caller was told 504, unknown whether it ran, and couldn't return with an order.
+    """
+
+    async def hang(*args):
+        await asyncio.sleep(10)
+
+    monkeypatch.setattr(IdleLimitConnector, "_create_connection", hang)
+
+    async def scenario():
+        sender = Sender(SignedDialect(), Estimates(), MemoryDecisionLog())
+        request = make_request(idempotent, remaining_s=0.1)
+        result = await sender.attempt(request, make_target("t"), REMAINING_S)
+        assert isinstance(result.outcome, NotRun)
+        assert result.outcome.reason is Reason.TARGET_LOST
+        await sender.close()
+
+    asyncio.run(scenario())
