Soak restores of the store and servers that leave unannounced; tests with real processes

The stand-in store is restored from copies of up to 4 s; operators and servers write again within 2 s. Servers announce their leaving in responses only. The soak checks that no gateway sends to one later than the drain time, whatever the store does. Three tests of gateway processes: a restore beside requests (at most 2 of 120 refused), a server that leaves unannounced, one that asks for a pause.

--- a/packages/fakes/peridot_fakes/holdserver.py
+++ b/packages/fakes/peridot_fakes/holdserver.py
@@ -39,6 +39,10 @@
     shed: int = 0
     # Respond to the next so many requests with the id of another attempt.
     foreign: int = 0
+    # Announce in all responses that the server is leaving.
+    leaving: bool = False
+    # Refuse requests until this time (s, monotonic) and ask callers to wait until then.
+    paused_until: float = float("-inf")
     # Start of this incarnation: a number that grows with each restart.
     born: int = 1
     # Simulates the network in front of the server, if set.
@@ -46,6 +50,8 @@
     registered_port: int | None = None
     holder: LeaseHolder = field(default_factory=LeaseHolder)
     runs: Counter = field(default_factory=Counter)
+    # When requests arrived (s, monotonic).
+    arrived_at: list[float] = field(default_factory=list)
     # When the server last accepted a request (s, monotonic).
     last_accepted_at: float = float("-inf")
     running: int = 0
@@ -58,6 +64,7 @@
         """Lose all leases, as a new process under the same name."""
         self.holder = LeaseHolder()
         self.born += 1
+        self.leaving = False
 
     def replace_identity(self, name: str, service: str) -> None:
         """Become a server of a service without keys at the same address."""
@@ -92,6 +99,12 @@
             await runner.cleanup()
 
     async def _handle(self, request: web.BaseRequest) -> web.Response:
+        response = await self._respond(request)
+        if self.leaving:
+            response.headers["Server-Leaving"] = "1"
+        return response
+
+    async def _respond(self, request: web.BaseRequest) -> web.Response:
         if not self.divided_by_key and request.path in LEASE_PATHS:
             return web.Response(status=400)
         expected = request.headers.get("X-Expected-Instance")
@@ -122,6 +135,10 @@
         key = int(request.headers.get("X-Shard-Key", "0"))
         if self.divided_by_key and not self.holder.holds(key, monotonic()):
             return web.Response(status=421, headers=NOT_RUN)
+        self.arrived_at.append(monotonic())
+        if (paused_s := self.paused_until - monotonic()) > 0:
+            headers = NOT_RUN | {"Retry-After": f"{paused_s:.3f}"}
+            return web.Response(status=503, headers=headers)
         if self.shed or self.waiting >= self.max_waiting:
             self.shed = max(0, self.shed - 1)
             return web.Response(status=503, headers=NOT_RUN | self._load_headers())
--- a/packages/fakes/peridot_fakes/sitesoak.py
+++ b/packages/fakes/peridot_fakes/sitesoak.py
@@ -9,7 +9,7 @@
 import re
 import signal
 import sys
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -50,6 +50,13 @@
 DRAIN_S = 2.0
 # One in so many requests uses the route that was added last.
 NEW_ROUTE_PERIOD = 8
+# The store is restored from copies of at most this age, one for each period.
+MAX_COPY_AGE_S = 4.0
+COPY_PERIOD_S = 0.5
+# Operators and servers write their objects again within this time after a restore, and
+# the store drops the entries of servers that have ended.
+REWRITE_DELAY_S = 2.0
+EXPIRY_DELAY_S = 2.6
 # Number of kinds of faults that a run with `few` draws.
 FEW_KINDS = 3
 Fault = Callable[[], Awaitable[None]]
@@ -100,6 +107,13 @@
     # (s, event loop's clock).
     drain_started_at: dict[str, float] = field(default_factory=dict)
     changed_at: float = 0.0
+    # The last copies of the store.
+    copies: deque = field(
+        default_factory=lambda: deque(maxlen=int(MAX_COPY_AGE_S / COPY_PERIOD_S))
+    )
+    # When (s) a gateway first passed on a response of a server that announced its
+    # leaving, by gateway and server. Restarts and pauses of the gateway end it.
+    announced_at: dict[tuple[str, str], float] = field(default_factory=dict)
     # The drawn faults of a run with few kinds; empty in other runs.
     selected_faults: tuple[Fault, ...] = ()
 
@@ -111,7 +125,10 @@
         await self.add_server("orders")
         for name in GATEWAYS:
             await self.site.gateways.start(name)
-        background = [asyncio.create_task(self.watch_leases())]
+        background = [
+            asyncio.create_task(self.watch_leases()),
+            asyncio.create_task(self.copy_store()),
+        ]
         background += [
             asyncio.create_task(self.send_requests()) for _ in range(CALLERS)
         ]
@@ -159,6 +176,7 @@
             self.verdict.answers[type(error).__name__] += 1
             return
         self.verdict.answers[status] += 1
+        self.check_announced_leaving(gateway, headers, sent_at)
         if self.was_undisturbed(gateway, sent_at):
             self.check_time_bounds(status, headers, path, sent_at, newest_configuration)
         if method == "POST":
@@ -208,6 +226,19 @@
             )
             self.verdict.record_problem("requests_at_servers_that_left", detail)
 
+    def check_announced_leaving(
+        self, gateway: str, headers: dict[str, str], sent_at: float
+    ) -> None:
+        """Check a response of a server that announces its leaving, in touch or not."""
+        server = headers.get("X-Upstream-Signature", "")
+        if not self.fault_tracker.had_no_fault_since(sent_at, gateway):
+            self.announced_at.pop((gateway, server), None)
+        elif "Server-Leaving" in headers:
+            first = self.announced_at.setdefault((gateway, server), self.now())
+            if sent_at > first + DRAIN_S:
+                detail = f"{server} {sent_at - first:.2f} s after it announced it"
+                self.verdict.record_problem("requests_at_leaving_servers", detail)
+
     # Faults.
 
     async def inject_faults(self, ends_at: float) -> None:
@@ -237,10 +268,12 @@
             self.refuse_some,
             self.lose_answers_of_store,
             self.forget_history,
+            self.restore_store,
             self.cut_server,
             self.cut_server,
             self.restart_server,
             self.drain_server,
+            self.leave_unannounced,
             self.reuse_address,
             self.trouble_server,
             self.change_configuration,
@@ -328,6 +361,41 @@
         with self.fault_tracker.track(STORE):
             self.site.api.drop_history()
 
+    async def copy_store(self) -> None:
+        """Copy the store periodically, until cancelled."""
+        while True:
+            self.copies.append(self.site.api.take_copy())
+            await asyncio.sleep(COPY_PERIOD_S)
+
+    async def restore_store(self) -> None:
+        """Let the store come back from a copy after a moment without responses."""
+        with self.fault_tracker.track(STORE):
+            self.site.api.unresponsive = True
+            await asyncio.sleep(self.rng.uniform(0.0, 1.0))
+            await self.site.api.restore(self.rng.choice(self.copies))
+            self.copies.clear()
+            self.copies.append(self.site.api.take_copy())
+            self.site.api.unresponsive = False
+            await asyncio.sleep(self.rng.uniform(0.0, REWRITE_DELAY_S))
+            await self.write_again()
+            await asyncio.sleep(EXPIRY_DELAY_S - REWRITE_DELAY_S)
+            await self.expire_entries()
+
+    async def write_again(self) -> None:
+        """Write what the operator and the servers had written before a restore."""
+        if self.changed_at:
+            await self.put_configuration()
+        for server in list(self.site.servers.values()):
+            draining = server.name in self.drain_started_at
+            await self.register(server, "draining" if draining else "ready")
+
+    async def expire_entries(self) -> None:
+        """Remove the entries of servers that have ended."""
+        stored = [name for kind, name in self.site.api.objects if kind == "servers"]
+        for name in stored:
+            if name not in self.site.servers:
+                await self.site.api.remove("servers", name)
+
     async def deafen_watches(self) -> None:
         """Let new watches hang for a while, then drop the history."""
         with self.fault_tracker.track(STORE):
@@ -361,10 +429,23 @@
         ):
             self.drain_started_at.setdefault(server.name, self.now())
         await asyncio.sleep(3.0)
+        await self.end_server(server)
+
+    async def leave_unannounced(self) -> None:
+        """End a server that announces its leaving in its responses only."""
+        await self.add_server("files")
+        server = self.choose_server("files")
+        server.leaving = True
+        await asyncio.sleep(self.rng.uniform(2.5, 5.0))
+        await self.end_server(server)
+
+    async def end_server(self, server: FakeServer) -> None:
+        """End a server and remove its entry."""
         if self.site.servers.pop(server.name, None) is None:
             return
         self.ended_servers.append(server)
-        await self.site.api.remove("servers", server.name)
+        if ("servers", server.name) in self.site.api.objects:
+            await self.site.api.remove("servers", server.name)
         server.relay.cut()
 
     async def reuse_address(self) -> None:
@@ -384,6 +465,10 @@
     async def change_configuration(self) -> None:
         """Store a newer configuration, which replaces the route that was added last."""
         self.version += self.rng.randint(1, 3)
+        await self.put_configuration()
+
+    async def put_configuration(self) -> None:
+        """Store the newest configuration."""
         routes = [FILES_ROUTE, ORDERS_ROUTE, self.new_route()]
         await self.site.api.put(
             "config", "main", make_configuration(self.version, routes)
--- a/packages/fakes/tests/test_site.py
+++ b/packages/fakes/tests/test_site.py
@@ -407,3 +407,79 @@
         assert leaving.last_accepted_at <= started_at + DRAIN_S
 
     run_scenario(tmp_path, scenario)
+
+
+def test_keys_are_served_while_the_store_is_restored_from_a_copy(tmp_path):
+    """The copy lacks a server, a move and the placer's last writes."""
+
+    async def scenario(site):
+        await start(site)
+        copy = site.api.take_copy()
+        await site.add_server("files-c", "files")
+        await site.wait_until_served("vm-1", 30_000, RECOVERY_TIMEOUT_S)
+        await asyncio.sleep(1.5)
+        await site.api.restore(copy)
+        refused = 0
+        for _ in range(60):
+            for gateway in ("vm-1", "vm-2"):
+                status, *_ = await site.send(gateway, "GET", "/files/x", 30_000)
+                refused += status != 200
+            assert_sole_owners(site, asyncio.get_running_loop().time())
+            await asyncio.sleep(POLL_PERIOD_S)
+        assert refused <= 2
+        server = site.servers["files-c"]
+        await site.api.put("servers", "files-c", server.make_registration())
+        assert "event=term_renumbered" in site.gateways.log("vm-1") + (
+            site.gateways.log("vm-2")
+        )
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_a_server_that_announces_its_leaving_gets_no_requests_after_its_drain_time(
+    tmp_path,
+):
+    """Its entry says that it is ready all the time."""
+
+    async def scenario(site):
+        await start(site)
+        leaving = site.servers["files-a"]
+        leaving.leaving = True
+        loop = asyncio.get_running_loop()
+        announced: dict[str, float] = {}
+        ends_at = loop.time() + 4.0
+        while loop.time() < ends_at:
+            for gateway in ("vm-1", "vm-2"):
+                for key in (0, 20_000, 40_000, 65_535):
+                    sent_at = loop.time()
+                    _, _, headers, _ = await site.send(gateway, "GET", "/files/x", key)
+                    if "Server-Leaving" in headers:
+                        first = announced.setdefault(gateway, loop.time())
+                        assert sent_at <= first + DRAIN_S
+            await asyncio.sleep(POLL_PERIOD_S)
+        assert announced and not leaving.holder.holds(0, loop.time())
+        for key in (0, 20_000, 40_000, 65_535):
+            assert (await site.send("vm-1", "GET", "/files/x", key))[0] == 200
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_a_server_that_asks_for_a_pause_gets_no_requests_during_it(tmp_path):
+    async def scenario(site):
+        await start(site, "vm-1")
+        loop = asyncio.get_running_loop()
+        server = site.servers["orders-a"]
+        server.paused_until = paused_until = loop.time() + 1.5
+        first = None
+        while loop.time() < paused_until + 0.2:
+            status, _, headers, _ = await site.send("vm-1", "POST", "/orders/1")
+            if first is None:
+                first = loop.time()
+            if loop.time() < paused_until:
+                assert status == 503 and float(headers["Retry-After"]) > 0
+            await asyncio.sleep(POLL_PERIOD_S)
+        late = [at for at in server.arrived_at if first + 0.5 < at < paused_until]
+        assert len(late) <= 2
+        assert (await site.send("vm-1", "POST", "/orders/1"))[0] == 200
+
+    run_scenario(tmp_path, scenario)
