--- a/packages/ownership/tests/test_ownership_model.py
+++ b/packages/ownership/tests/test_ownership_model.py
@@ -15,10 +15,10 @@
 
 from hypothesis import example, given, settings, strategies as st
 
+from peridot_fakes.cutstore import CutStore
 from peridot_fakes.holders import MemoryLeaseClient
 from peridot_fakes.virtualtime import run_virtual, virtual_time
-from peridot_objects.objects import MemoryObjectStore, ObjectStore, StoreCopy
-from peridot_objects.outcomes import StoreUnavailable
+from peridot_objects.objects import MemoryObjectStore, StoreCopy
 from peridot_ownership import (
     granter as granter_module,
     placer as placer_module,
@@ -51,6 +51,7 @@
 # Leaving targets serve for up to this long while a move is postponed (s).
 LEAVING_GRACE_S = 1.0
 STEPS = 25
+STORE_DELAY_S = 0.004
 # An older placer loses its members this long (s) after a newer term was acquired.
 FOLLOW_DELAY_S = 1.5
 # Covers the longest wait for leases of earlier terms (s).
@@ -61,35 +62,6 @@
 COPIES = 4
 
 
-class ReachableStore(ObjectStore):
-    """A shared store from which one placer can be cut off."""
-
-    def __init__(self, inner: MemoryObjectStore) -> None:
-        self.inner = inner
-        self.cut = False
-
-    async def list(self, kinds):
-        return await self.inner.list(kinds)
-
-    async def read(self, kind, name):
-        await asyncio.sleep(0.004)
-        if self.cut:
-            return StoreUnavailable("cut off")
-        return await self.inner.read(kind, name)
-
-    async def write(self, kind, name, value, expected):
-        await asyncio.sleep(0.004)
-        if self.cut:
-            return StoreUnavailable("cut off")
-        return await self.inner.write(kind, name, value, expected)
-
-    async def delete(self, kind, name, expected):
-        return await self.inner.delete(kind, name, expected)
-
-    async def watch(self, kinds, since, timeout_s):
-        return await self.inner.watch(kinds, since, timeout_s)
-
-
 class ReachableLeaseClient(TargetLeaseClient):
     """Shared targets, from some of which one placer can be cut off."""
 
@@ -156,7 +128,7 @@
         self.view = ShiftingLoadView(self.rng)
         self.log = MemoryDecisionLog()
         self.placers: list[
-            tuple[Placer, ReachableStore, ReachableLeaseClient, AsyncExitStack]
+            tuple[Placer, CutStore, ReachableLeaseClient, AsyncExitStack]
         ] = []
         self.number = 0
         # The term of the last placer that resigned, and the leases that it reported.
@@ -219,7 +191,7 @@
     async def start_placer(self) -> None:
         self.number += 1
         store, lease_client = (
-            ReachableStore(self.store),
+            CutStore(self.store, STORE_DELAY_S),
             ReachableLeaseClient(self.lease_client),
         )
         found = await store.read(RECORD_KIND, RECORD_NAME)
--- a/packages/ownership/tests/test_placer.py
+++ b/packages/ownership/tests/test_placer.py
@@ -10,9 +10,9 @@
 
 import pytest
 
+from peridot_fakes.cutstore import CutStore
 from peridot_fakes.holders import MemoryLeaseClient
-from peridot_objects.objects import MemoryObjectStore, ObjectStore
-from peridot_objects.outcomes import StoreUnavailable
+from peridot_objects.objects import MemoryObjectStore
 from peridot_ownership import (
     granter as granter_module,
     placer as placer_module,
@@ -635,33 +635,6 @@
     run(check())
 
 
-class CutStore(ObjectStore):
-    """A store that one placer can lose while others reach it."""
-
-    def __init__(self, inner: MemoryObjectStore) -> None:
-        self.inner = inner
-        self.cut = False
-
-    async def list(self, kinds):
-        return await self.inner.list(kinds)
-
-    async def read(self, kind, name):
-        if self.cut:
-            return StoreUnavailable("cut off")
-        return await self.inner.read(kind, name)
-
-    async def write(self, kind, name, value, expected):
-        if self.cut:
-            return StoreUnavailable("cut off")
-        return await self.inner.write(kind, name, value, expected)
-
-    async def delete(self, kind, name, expected):
-        return await self.inner.delete(kind, name, expected)
-
-    async def watch(self, kinds, since, timeout_s):
-        return await self.inner.watch(kinds, since, timeout_s)
-
-
 class LostTerm:
     """A placer that loses the store while another has a term that a restore loses."""
 
