Keep the term when the response to the first write after a restore is lost

Cause, found by reading: such a placer read its own record of the new era, took it for another's term and ended; keys were then unserved for 11.5 s. And a conditional write from an earlier era fails without a call, so that a placer whose reads failed at once retried without a pause. Both tests failed before (the second never returned).

--- a/packages/ownership/peridot_ownership/recorder.py
+++ b/packages/ownership/peridot_ownership/recorder.py
@@ -133,7 +133,6 @@
         self.write_requested.clear()
         if self.store_lost and not await self._is_still_recorded():
             self.write_requested.set()
-            await asyncio.sleep(RETRY_PAUSE_S)
             return
         waiters, self.waiters = self.waiters, []
         self.record.heartbeat += 1
@@ -165,10 +164,8 @@
         the next write expects, and would replace it.
         """
         found = await self._read_record()
-        if isinstance(found, StoreUnavailable):
-            return False
         await self._check_found(found)
-        return True
+        return not isinstance(found, StoreUnavailable)
 
     async def _write_record(
         self, record: PlacementRecord, version: int
@@ -197,12 +194,13 @@
             await asyncio.sleep(RETRY_PAUSE_S)
         if isinstance(outcome, StoreUnavailable):
             return
-        found = await self._read_record()
-        await self._check_found(found)
+        await self._check_found(await self._read_record())
 
     async def _check_found(self, found: ReadOutcome) -> None:
         """Continue from the record that is stored now; raise TermLost."""
         if isinstance(found, StoreUnavailable):
+            self._mark_store_lost(found)
+            await asyncio.sleep(RETRY_PAUSE_S)
             return
         era = found.era if isinstance(found, Missing) else version_era(found.version)
         if era > version_era(self.version):
@@ -223,12 +221,15 @@
         unwritten_s = boot_time() - self.confirmed_at
         if unwritten_s >= SAFE_RENUMBERING_S:
             raise TermLost(f"the store was restored after {unwritten_s:.1f} s")
-        version, stored = 0, None
+        version, stored_term = 0, 0
         if isinstance(found, StoredObject):
-            version, stored = found.version, _parse_found(found)
-            if not precedes_restore(stored, era):
-                raise TermLost(f"term {stored.term} is held by {stored.holder.vm}")
-        record = next_term_record(self.record, self.record.holder, era)
+            stored = _parse_found(found)
+            version, stored_term = found.version, stored.term
+            is_own = stored.holder == self.record.holder
+            if not is_own and not precedes_restore(stored, era):
+                raise TermLost(f"term {stored_term} is held by {stored.holder.vm}")
+        # A record of its own in the new era is from a write without a response.
+        record = next_term_record(self.record, self.record.holder, era, stored_term)
         record.certainty = max(record.certainty, Certainty.LEASES_UNCERTAIN)
         started_at = boot_time()
         outcome = await self._write_record(record, version)
@@ -237,7 +238,7 @@
             term=self.record.term,
             new_term=record.term,
             era=era,
-            stored_term=stored.term if stored is not None else "-",
+            stored_term=stored_term,
             unwritten_s=round(unwritten_s, 2),
             outcome=type(outcome).__name__,
         )
--- a/packages/ownership/tests/test_placer.py
+++ b/packages/ownership/tests/test_placer.py
@@ -13,6 +13,7 @@
 from peridot_fakes.cutstore import CutStore
 from peridot_fakes.holders import MemoryLeaseClient
 from peridot_objects.objects import MemoryObjectStore
+from peridot_objects.outcomes import Conflict, StoreUnavailable
 from peridot_ownership import (
     granter as granter_module,
     placer as placer_module,
@@ -739,3 +740,43 @@
         assert first.confirmed_at == confirmed_at or first.record.term > 262_144
 
     run(check())
+
+
+def test_a_lost_response_to_the_first_write_after_a_restore_does_not_end_the_term():
+    async def check():
+        harness = PlacerHarness("a")
+        async with harness.run_placer("vm1") as placer:
+            await wait_until(placer, lambda: harness.owners(placer) == {"a"})
+            copy = harness.store.take_copy()
+            await placer.record_writer.write()
+            await harness.store.restore(copy)
+            harness.store.lose_answers = 2
+            await wait_until(placer, lambda: placer.record.term > 1)
+            await placer.record_writer.write()
+            assert not placer.record_writer.ended.done()
+
+    run(check())
+
+
+def test_a_placer_does_not_spin_while_a_restored_store_is_away():
+    """A conditional write from an earlier era fails without a call to the store."""
+
+    async def check():
+        harness = PlacerHarness("a")
+        async with harness.run_placer("vm1") as placer:
+            await wait_until(placer, lambda: harness.owners(placer) == {"a"})
+            reads = 0
+
+            async def conflict(*call):
+                return Conflict(0)
+
+            async def fail(*call):
+                nonlocal reads
+                reads += 1
+                return StoreUnavailable("away")
+
+            harness.store.write, harness.store.read = conflict, fail
+            await asyncio.sleep(0.3)
+            assert 1 <= reads <= 20
+
+    run(check())
