--- a/packages/ownership/tests/test_placer.py
+++ b/packages/ownership/tests/test_placer.py
@@ -748,9 +748,10 @@
         async with harness.run_placer("vm1") as placer:
             await wait_until(placer, lambda: harness.owners(placer) == {"a"})
             copy = harness.store.take_copy()
-            await placer.record_writer.write()
+            for _ in range(5):
+                await placer.record_writer.write()
             await harness.store.restore(copy)
-            harness.store.lose_answers = 2
+            harness.store.lose_answers = 1
             await wait_until(placer, lambda: placer.record.term > 1)
             await placer.record_writer.write()
             assert not placer.record_writer.ended.done()
