Bound the bodies of callers by the configuration, by memory and by their deadline

Change: bodies are read in pieces up to the limit of the configuration, 64 MB for all open requests (refused with 503 before they are read), and until the deadline (503, not run).

--- /dev/null
+++ b/packages/gateway/peridot_gateway/bodies.py
@@ -0,0 +1,72 @@
+"""Read the bodies of callers' requests within the limits of size, memory and time."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from time import monotonic
+
+from aiohttp import web
+
+from peridot_routing.outcomes import NotRun, Reason
+
+# Bodies in memory at once; small VMs have 200 MB for everything.
+MAX_HELD_BYTES = 64 * 2**20
+# Retry-After while that many bytes are held: large bodies take about this long.
+HELD_RETRY_MS = 500
+
+
+class BodyReader:
+    """Read bodies whole, and count the bytes that are held for open requests."""
+
+    def __init__(self, max_held_bytes: int = MAX_HELD_BYTES) -> None:
+        self.max_held_bytes = max_held_bytes
+        self.held_bytes = 0
+
+    @asynccontextmanager
+    async def read(
+        self, http_request: web.BaseRequest, limit: int, deadline: float
+    ) -> AsyncIterator[bytes | NotRun]:
+        """Yield a request's body, or why it wasn't read until a deadline (s).
+
+        Its bytes count as held while the context lasts.
+        """
+        size = http_request.content_length or 0
+        if size > limit:
+            yield NotRun(Reason.BODY_TOO_LARGE, detail=f"over {limit} bytes")
+            return
+        if self.held_bytes + size > self.max_held_bytes:
+            yield self._refuse()
+            return
+        body = bytearray()
+        try:
+            yield await self._read(http_request, body, limit, deadline)
+        finally:
+            self.held_bytes -= len(body)
+
+    async def _read(
+        self,
+        http_request: web.BaseRequest,
+        body: bytearray,
+        limit: int,
+        deadline: float,
+    ) -> bytes | NotRun:
+        if not http_request.can_read_body:
+            return b""
+        try:
+            async with asyncio.timeout(max(0.0, deadline - monotonic())):
+                async for chunk in http_request.content.iter_any():
+                    body += chunk
+                    self.held_bytes += len(chunk)
+                    if len(body) > limit:
+                        return NotRun(
+                            Reason.BODY_TOO_LARGE, detail=f"over {limit} bytes"
+                        )
+                    if self.held_bytes > self.max_held_bytes:
+                        return self._refuse()
+        except TimeoutError:
+            return NotRun(Reason.DEADLINE, HELD_RETRY_MS, "the body isn't complete")
+        return bytes(body)
+
+    def _refuse(self) -> NotRun:
+        detail = f"{self.held_bytes} bytes of bodies in memory"
+        return NotRun(Reason.OVERLOADED, HELD_RETRY_MS, detail)
--- a/packages/gateway/peridot_gateway/ingress.py
+++ b/packages/gateway/peridot_gateway/ingress.py
@@ -12,6 +12,7 @@
 
 from peridot_daemon.metrics import Metrics
 from peridot_daemon.settings import split_address
+from peridot_gateway.bodies import BodyReader
 from peridot_gateway.dialect import CallerHeaders, Dialect
 from peridot_gateway.pipelining import CallerRequest, CallerServer
 from peridot_gateway.requests import GatewayRequest, end_to_end_headers
@@ -19,7 +20,7 @@
 from peridot_gateway.routes import TrafficSplitter
 from peridot_gateway.sources import ConfigurationSource
 from peridot_placement.decisions import DecisionLog
-from peridot_resources.configuration import Route
+from peridot_resources.configuration import Route, ServiceConfiguration
 from peridot_routing.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from peridot_routing.router import format_outcome
 
@@ -60,6 +61,7 @@
         self.metrics = metrics
         self.log = log
         self.splitter = TrafficSplitter(rng)
+        self.body_reader = BodyReader()
         self.open_requests = 0
         self.stopping = False
         self.non_idempotent_tasks: set[asyncio.Task] = set()
@@ -206,17 +208,30 @@
                 NOT_READY_RETRY_MS,
                 "the route names an unknown service",
             )
-        limit = self.configuration_source.configuration.limits.max_body_bytes
-        if (http_request.content_length or 0) > limit:
-            return NotRun(Reason.BODY_TOO_LARGE, detail=f"over {limit} bytes")
-        body = await http_request.read() if http_request.can_read_body else b""
-        if len(body) > limit:
-            return NotRun(Reason.BODY_TOO_LARGE, detail=f"over {limit} bytes")
         # Without a deadline of the caller, the route's timeout applies.
         deadline_s = caller_headers.deadline_s
         wait_s = route.timeout_s if deadline_s is None else deadline_s
         wait_s = min(wait_s, route.timeout_s)
-        request = GatewayRequest(
+        limit = self.configuration_source.configuration.limits.max_body_bytes
+        async with self.body_reader.read(http_request, limit, began + wait_s) as body:
+            if isinstance(body, NotRun):
+                return body
+            request = self._build_request(
+                http_request, route, service, caller_headers, body, began, wait_s
+            )
+            return await self._run_request(request)
+
+    def _build_request(
+        self,
+        http_request: web.BaseRequest,
+        route: Route,
+        service: ServiceConfiguration,
+        caller_headers: CallerHeaders,
+        body: bytes,
+        began: float,
+        wait_s: float,
+    ) -> GatewayRequest:
+        return GatewayRequest(
             caller_headers.request_id,
             route,
             service,
@@ -229,7 +244,6 @@
             began,
             began + wait_s,
         )
-        return await self._run_request(request)
 
     async def _run_request(self, request: GatewayRequest) -> Outcome:
         """Route a request; a non-idempotent one goes on if its caller disconnects."""
--- a/packages/gateway/peridot_gateway/pipelining.py
+++ b/packages/gateway/peridot_gateway/pipelining.py
@@ -17,6 +17,8 @@
 
 # Requests of one connection that run beside the one whose response is due.
 MAX_STARTED = 8
+# aiohttp's own limit of bodies is off; the configuration has one.
+UNLIMITED = 0
 
 
 @dataclass
@@ -83,7 +85,9 @@
         """Return a request that isn't the one whose response is due."""
         loop = asyncio.get_running_loop()
         writer = StreamWriter(self, loop)
-        return CallerRequest(message, payload, self, writer, None, loop)
+        return CallerRequest(
+            message, payload, self, writer, None, loop, client_max_size=UNLIMITED
+        )
 
     def take_arrival(self, message) -> Arrival:
         """Return the arrival of the request whose turn it is."""
@@ -104,6 +108,8 @@
 def make_caller_request(message, payload, protocol, writer, task) -> CallerRequest:
     """Return the request whose turn it is on its connection."""
     loop = asyncio.get_running_loop()
-    request = CallerRequest(message, payload, protocol, writer, task, loop)
+    request = CallerRequest(
+        message, payload, protocol, writer, task, loop, client_max_size=UNLIMITED
+    )
     request.arrival = protocol.take_arrival(message)
     return request
--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -2,28 +2,40 @@
 
 import asyncio
 import random
+from contextlib import asynccontextmanager
 from time import monotonic
+from types import SimpleNamespace
 
 import pytest
 
+from peridot_daemon.metrics import Metrics
+from peridot_fakes.fleet import free_ports
 from peridot_gateway.admission import Admission
 from peridot_gateway.budget import RetryBudgetLimits
 from peridot_gateway.estimates import Estimates
+from peridot_gateway.ingress import Ingress
 from peridot_gateway.owners import Owners, OwnerTable
 from peridot_gateway.picker import Picker
 from peridot_gateway.requests import GatewayRequest
 from peridot_gateway.router import GatewayRouter, RouterParts
+from peridot_gateway.routes import RouteIndex
 from peridot_gateway.sender import AttemptResult
 from peridot_placement.decisions import MemoryDecisionLog
+from peridot_platform.dialect import PlatformDialect
 from peridot_resources.configuration import (
+    CallerLimits,
+    Configuration,
     Route,
     ServiceConfiguration,
     TargetInstance,
     WeightedService,
 )
+from peridot_routing.outcomes import Answered, NotRun, Outcome, Reason
 
 # For how long leaving targets get new requests (s).
 LEAVING_GRACE_S = 1.0
+# Processing time of the router of ingress tests.
+DELAY_S = 0.1
 
 
 @pytest.fixture
@@ -148,3 +160,63 @@
         return owners
 
     return build
+
+
+class DelayingRouter:
+    """A router that responds to /a/N after a delay; odd ones are refused."""
+
+    def __init__(self) -> None:
+        self.running = 0
+        self.peak = 0
+        self.ran: list[str] = []
+        self.cancelled: list[str] = []
+        self.delays: dict[str, float] = {}
+        self.body_sizes: list[int] = []
+
+    async def handle(self, request: GatewayRequest) -> Outcome:
+        self.ran.append(request.request_id)
+        self.running += 1
+        self.peak = max(self.peak, self.running)
+        try:
+            await asyncio.sleep(self.delays.get(request.request_id, DELAY_S))
+        except asyncio.CancelledError:
+            self.cancelled.append(request.request_id)
+            raise
+        finally:
+            self.running -= 1
+        self.body_sizes.append(len(request.body))
+        if "refuse" in request.path:
+            return NotRun(Reason.OVERLOADED, 100)
+        return Answered(200, (), request.request_id.encode(), "t")
+
+
+@pytest.fixture
+def open_ingress(make_route):
+    @asynccontextmanager
+    async def open_connection():
+        routes = (
+            make_route(path_prefix="/a/"),
+            make_route(idempotent=False, name="r2", path_prefix="/o/"),
+        )
+        services = {"files": ServiceConfiguration("files", False, 100, 1.0)}
+        limits = CallerLimits(16_384, 4 * 2**20, 5.0, 10.0)
+        configuration = Configuration(1, routes, services, limits)
+        source = SimpleNamespace(
+            configuration=configuration, index=RouteIndex(configuration)
+        )
+        router = DelayingRouter()
+        ingress = Ingress(
+            PlatformDialect(),
+            source,
+            router,
+            Metrics(),
+            MemoryDecisionLog(),
+            random.Random(1),
+        )
+        (port,) = free_ports(1)
+        async with ingress.serve(f"127.0.0.1:{port}"):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            yield ingress, router, reader, writer
+            writer.close()
+
+    return open_connection
--- a/packages/gateway/tests/test_pipelining.py
+++ b/packages/gateway/tests/test_pipelining.py
@@ -6,88 +6,15 @@
 
 import asyncio
 import random
-from contextlib import asynccontextmanager
 from time import monotonic
-from types import SimpleNamespace
 
 import pytest
 
-from peridot_daemon.metrics import Metrics
-from peridot_fakes.fleet import free_ports
-from peridot_gateway.ingress import Ingress
 from peridot_gateway.pipelining import MAX_STARTED
-from peridot_gateway.requests import GatewayRequest
-from peridot_gateway.routes import RouteIndex
-from peridot_placement.decisions import MemoryDecisionLog
-from peridot_platform.dialect import PlatformDialect
-from peridot_resources.configuration import (
-    CallerLimits,
-    Configuration,
-    ServiceConfiguration,
-)
-from peridot_routing.outcomes import Answered, NotRun, Outcome, Reason
 
 DELAY_S = 0.1
 
 
-class DelayingRouter:
-    """A router that responds to /a/N after a delay; odd ones are refused."""
-
-    def __init__(self) -> None:
-        self.running = 0
-        self.peak = 0
-        self.ran: list[str] = []
-        self.cancelled: list[str] = []
-        self.delays: dict[str, float] = {}
-
-    async def handle(self, request: GatewayRequest) -> Outcome:
-        self.ran.append(request.request_id)
-        self.running += 1
-        self.peak = max(self.peak, self.running)
-        try:
-            await asyncio.sleep(self.delays.get(request.request_id, DELAY_S))
-        except asyncio.CancelledError:
-            self.cancelled.append(request.request_id)
-            raise
-        finally:
-            self.running -= 1
-        if "refuse" in request.path:
-            return NotRun(Reason.OVERLOADED, 100)
-        return Answered(200, (), request.request_id.encode(), "t")
-
-
-@pytest.fixture
-def open_ingress(make_route):
-    @asynccontextmanager
-    async def open_connection():
-        routes = (
-            make_route(path_prefix="/a/"),
-            make_route(idempotent=False, name="r2", path_prefix="/o/"),
-        )
-        services = {"files": ServiceConfiguration("files", False, 100, 1.0)}
-        limits = CallerLimits(16_384, 65_536, 5.0, 10.0)
-        configuration = Configuration(1, routes, services, limits)
-        source = SimpleNamespace(
-            configuration=configuration, index=RouteIndex(configuration)
-        )
-        router = DelayingRouter()
-        ingress = Ingress(
-            PlatformDialect(),
-            source,
-            router,
-            Metrics(),
-            MemoryDecisionLog(),
-            random.Random(1),
-        )
-        (port,) = free_ports(1)
-        async with ingress.serve(f"127.0.0.1:{port}"):
-            reader, writer = await asyncio.open_connection("127.0.0.1", port)
-            yield ingress, router, reader, writer
-            writer.close()
-
-    return open_connection
-
-
 def send(writer, *requests: tuple[str, str]) -> None:
     """Send requests, each with its path and id, without waiting for responses."""
     for path, request_id in requests:
