Move no keys away because one grant got no answer

Change: a target is unusable after two renewals without an answer (1.3 s, still before its leases expire if it is gone; test), at once if another incarnation answers; a failed renewal is tried again after 0.2 s; a pass goes on after one failure, and the next one starts where it stopped. The test failed before.

--- a/packages/ownership/peridot_ownership/granter.py
+++ b/packages/ownership/peridot_ownership/granter.py
@@ -36,8 +36,9 @@
 # A target answers a release once the requests that run on the keys have ended.
 RELEASE_TIMEOUT_S = 2.5
 RETRY_PAUSE_S = 0.1
-# A target is unusable once its renewals have failed for this long.
-UNUSABLE_AFTER_S = 0.6
+# A target is unusable once its renewals have failed for this long: after two renewals
+# without an answer, and before the leases of a target that is gone expire.
+UNUSABLE_AFTER_S = 1.3
 
 
 @dataclass
@@ -47,6 +48,10 @@
     target: TargetInstance
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     failing_since: float | None = None
+    # Another incarnation answered the last renewal.
+    replaced: bool = False
+    # First key of the range at which the last renewal of all leases stopped, or -1.
+    stopped_at: int = -1
     leaving_since: float | None = None
     # Keys for which it accepted a grant of this term, which replaced all leases of
     # earlier terms.
@@ -64,9 +69,9 @@
             self.accepted_ranges = [*kept, keys]
 
     def is_failing(self, now: float) -> bool:
-        """Return whether renewals have failed for too long by now (s)."""
+        """Return whether the target is gone or its renewals fail for too long (s)."""
         since = self.failing_since
-        return since is not None and now - since >= UNUSABLE_AFTER_S
+        return self.replaced or since is not None and now - since >= UNUSABLE_AFTER_S
 
 
 class LeaseManager:
@@ -178,6 +183,7 @@
     def _record_reachability(
         self, state: TargetState, outcome: GrantOutcome, now: float
     ) -> None:
+        state.replaced = isinstance(outcome, Replaced)
         if isinstance(outcome, Granted | Outranked):
             if state.failing_since is not None:
                 self.log.write("target_regained", target=state.target.name)
--- a/packages/ownership/peridot_ownership/placer.py
+++ b/packages/ownership/peridot_ownership/placer.py
@@ -20,6 +20,11 @@
 
 # Three renewals fit into a lease.
 RENEWAL_PERIOD_S = 0.7
+# Time until the next renewal of a target after one that failed.
+RETRY_PERIOD_S = 0.2
+# A renewal of all leases of a target goes on after one grant without an answer, so that
+# the others don't expire; each takes up to GRANT_TIMEOUT_S.
+MAX_FAILURES = 2
 # Time between plans; a plan is costly, as it sums the load of all keys.
 PLAN_PERIOD_S = 0.3
 # Time between log lines on the balance of a service.
@@ -112,20 +117,28 @@
             if self.record_writer.is_confirmed():
                 async with state.lock:
                     await self._renew_all(state)
-            await asyncio.sleep(RENEWAL_PERIOD_S)
+            failing = state.failing_since is not None
+            await asyncio.sleep(RETRY_PERIOD_S if failing else RENEWAL_PERIOD_S)
 
     async def _renew_all(self, state: TargetState) -> None:
         service = state.target.service
         table = self.record.tables.get(service)
         if table is None:
             return
-        for item in table.owned_by(state.target.name):
+        failures = 0
+        owned = table.owned_by(state.target.name)
+        # Goes on after the range at which the last pass stopped.
+        owned.sort(key=lambda item: item.keys.start <= state.stopped_at)
+        state.stopped_at = -1
+        for item in owned:
             for keys in item.keys.minus(self.moving.get(service, ())):
                 if not self._is_current(service, item, keys):
                     # It moved while this pass waited for earlier grants.
                     continue
                 outcome = await self.lease_manager.grant(state, keys, item.fence)
-                if not isinstance(outcome, Granted | Outranked):
+                failures += not isinstance(outcome, Granted | Outranked)
+                if failures >= MAX_FAILURES or isinstance(outcome, Replaced):
+                    state.stopped_at = item.keys.start
                     return
 
     def _is_current(self, service: str, item: OwnedRange, keys: KeyRange) -> bool:
--- a/packages/ownership/tests/test_placer.py
+++ b/packages/ownership/tests/test_placer.py
@@ -21,6 +21,8 @@
     rights as rights_module,
 )
 from peridot_ownership.errors import TermLost
+from peridot_ownership.granter import UNUSABLE_AFTER_S
+from peridot_ownership.holds import Unanswered, max_lease_s
 from peridot_ownership.loads import KeyLoads
 from peridot_ownership.placer import RENEWAL_PERIOD_S, Placer
 from peridot_ownership.ranges import ALL_KEYS, KeyRange, RangeTable
@@ -58,6 +60,7 @@
     for name, value in {
         "RENEWAL_PERIOD_S": 0.05,
         "PLAN_PERIOD_S": 0.02,
+        "RETRY_PERIOD_S": 0.02,
         "ANNOUNCE_DELAY_S": 0.001,
         "CONFIRMATION_TIMEOUT_S": 0.3,
     }.items():
@@ -67,7 +70,7 @@
         "GRANT_TIMEOUT_S": 0.04,
         "RELEASE_TIMEOUT_S": 0.1,
         "RETRY_PAUSE_S": 0.01,
-        "UNUSABLE_AFTER_S": 0.05,
+        "UNUSABLE_AFTER_S": 0.11,
         "LONG_LEASE_DELAY_S": 0.03,
     }.items():
         monkeypatch.setattr(granter_module, name, value)
@@ -781,3 +784,47 @@
             assert 1 <= reads <= 20
 
     run(check())
+
+
+def test_one_grant_without_an_answer_moves_no_keys():
+    """Pattern: grants are carried out, but some aren't answered (applied_late).
+
+    Keys moved away from targets that served them, and then had no owner until leases
+    had expired.
+    """
+
+    async def check():
+        harness = PlacerHarness("a b")
+        async with harness.run_placer("vm1") as placer:
+            await wait_until(placer, lambda: harness.owners(placer) == {"a", "b"})
+            moves = placer.moves
+            grant = harness.lease_client.grant
+            calls = 0
+
+            async def answer_half(target, call, timeout_s):
+                nonlocal calls
+                calls += 1
+                outcome = await grant(target, call, timeout_s)
+                if calls % 2:
+                    return outcome
+                await asyncio.sleep(timeout_s)
+                return Unanswered("lost")
+
+            harness.lease_client.grant = answer_half
+            await asyncio.sleep(1.0)
+            assert calls > 10 and placer.moves == moves
+            now = asyncio.get_running_loop().time()
+            for key in range(0, 65_536, 4_096):
+                assert any(
+                    harness.lease_client.holder(name).holds(key, now) for name in "ab"
+                )
+        assert not harness.lease_client.violations
+
+    run(check())
+
+
+def test_a_target_that_is_gone_is_unusable_before_its_leases_expire():
+    """A longer time would delay the move of its keys."""
+    next_renewal_s = placer_module.RENEWAL_PERIOD_S
+    unusable_s = UNUSABLE_AFTER_S + rights_module.GRANT_TIMEOUT_S
+    assert unusable_s + next_renewal_s <= max_lease_s(rights_module.LEASE_S)
