--- a/packages/fakes/peridot_fakes/site.py
+++ b/packages/fakes/peridot_fakes/site.py
@@ -213,6 +213,12 @@
             body = await response.read()
             return response.status, body, dict(response.headers), attempt_id
 
+    async def read_metrics(self, gateway: str) -> str:
+        """Return the metrics page of a gateway."""
+        port = self.gateways.settings[gateway]["internalPortRange"][1]
+        async with self.session.get(f"http://127.0.0.1:{port}/metrics") as response:
+            return await response.text()
+
     async def wait_until_served(
         self, gateway: str, key: int, timeout_s: float
     ) -> float:
--- a/packages/fakes/tests/test_site.py
+++ b/packages/fakes/tests/test_site.py
@@ -478,6 +478,8 @@
             if loop.time() < paused_until:
                 assert status == 503 and float(headers["Retry-After"]) > 0
             await asyncio.sleep(POLL_PERIOD_S)
+            if loop.time() < paused_until - 0.3:
+                assert "peridot_targets_paused 1.0" in await site.read_metrics("vm-1")
         late = [at for at in server.arrived_at if first + 0.5 < at < paused_until]
         assert len(late) <= 2
         assert (await site.send("vm-1", "POST", "/orders/1"))[0] == 200
--- a/packages/gateway/peridot_gateway/daemon.py
+++ b/packages/gateway/peridot_gateway/daemon.py
@@ -294,6 +294,26 @@
         gauges.add(
             "open_requests", "Requests of callers.", lambda: self.ingress.open_requests
         )
+        gauges.add(
+            "targets_paused",
+            "Targets that want no requests from this VM for now.",
+            self.estimates.count_paused,
+        )
+        gauges.add(
+            "targets_announced_leaving",
+            "Targets that said in responses, not in the store, that they leave.",
+            lambda: len(self.targets.announced_leaving),
+        )
+        gauges.add(
+            "store_era",
+            "Restores of the store from a copy, as known here.",
+            lambda: self.targets.era,
+        )
+        gauges.add(
+            "request_body_bytes",
+            "Bodies of callers' requests in memory.",
+            lambda: self.ingress.body_reader.held_bytes,
+        )
         gauges.add(
             "range_moves",
             "Key ranges that this placer moved.",
--- a/packages/gateway/peridot_gateway/estimates.py
+++ b/packages/gateway/peridot_gateway/estimates.py
@@ -210,6 +210,11 @@
         """Return for how much longer a target wants no requests (s)."""
         return self.get(target).pause_remaining_s(monotonic())
 
+    def count_paused(self) -> int:
+        """Return how many targets want no requests now."""
+        now = monotonic()
+        return sum(item.pause_remaining_s(now) > 0 for item in self.targets.values())
+
     def avoid(self, target: str) -> None:
         """Avoid a target for AVOID_DURATION_S."""
         self.get(target).avoid_until = monotonic() + AVOID_DURATION_S
