Start no pipelined bytes that are no request

Parser errors stand in aiohttp's queue like requests; the gateway tried to start them and the connection broke before the requests in front of them were answered. Arrivals keep the message by whose identity they are found, so that a later one can't take its place.

--- a/packages/gateway/peridot_gateway/pipelining.py
+++ b/packages/gateway/peridot_gateway/pipelining.py
@@ -11,6 +11,7 @@
 from time import monotonic
 
 from aiohttp import web
+from aiohttp.http import RawRequestMessage
 from aiohttp.http_writer import StreamWriter
 
 from peridot_routing.outcomes import Outcome
@@ -25,6 +26,8 @@
 class Arrival:
     """When a request arrived (s, monotonic), and its run if it has been started."""
 
+    # The parsed request line and headers, kept so that their identity isn't reused.
+    message: object
     began: float
     run: asyncio.Task[Outcome] | None = None
 
@@ -53,7 +56,7 @@
         super().data_received(data)
         now = monotonic()
         for message, _ in self._messages:
-            self.arrivals.setdefault(id(message), Arrival(now))
+            self.arrivals.setdefault(id(message), Arrival(message, now))
         if len(self._messages) > 1 or self._current_request is not None:
             self.start_waiting()
 
@@ -73,6 +76,9 @@
             arrival = self.arrivals.get(id(message))
             if arrival is None or arrival.run is not None or not payload.is_eof():
                 continue
+            if not isinstance(message, RawRequestMessage):
+                # A parser error, which aiohttp responds to when it is its turn.
+                return
             request = self.make_request(message, payload)
             request.arrival = arrival
             arrival.run = self.start_early(request)
@@ -91,7 +97,8 @@
 
     def take_arrival(self, message) -> Arrival:
         """Return the arrival of the request whose turn it is."""
-        return self.arrivals.pop(id(message), None) or Arrival(monotonic())
+        arrival = self.arrivals.pop(id(message), None)
+        return arrival or Arrival(message, monotonic())
 
 
 class CallerServer(web.Server):
--- a/packages/gateway/tests/test_pipelining.py
+++ b/packages/gateway/tests/test_pipelining.py
@@ -156,3 +156,21 @@
         assert deadlines["id-2"] - deadlines["id-1"] < DELAY_S / 2
 
     run(open_ingress, scenario)
+
+
+@pytest.mark.parametrize("behind", [b"GARBAGE\r\n\r\n", b"GET / HTTP/9.9\r\n\r\n"])
+def test_bytes_that_are_no_request_behind_others_are_refused_in_turn(
+    behind, open_ingress
+):
+    async def scenario(ingress, router, reader, writer):
+        send(writer, ("/a/1", "id-1"), ("/a/2", "id-2"))
+        # In one segment with them, aiohttp's parser would drop the requests as well.
+        await asyncio.sleep(DELAY_S / 4)
+        writer.write(behind)
+        for n in (1, 2):
+            assert await read_response(reader) == (200, f"id-{n}".encode())
+        assert (await reader.readuntil(b"\r\n\r\n")).split()[1] == b"400"
+        await reader.read()
+        assert router.ran == ["id-1", "id-2"]
+
+    run(open_ingress, scenario)
