Give up a request at a silent target only for a better attempt

A lookup whose target was at work for 1.6 s was given up for silence during a stop and answered 504; with some 20 requests a second, a VM of a large fleet hears little else from a target. The retry would have gone to the same owner, if the budget had room at all.

Change: an attempt ends for silence only if a retry has room in the budget, the gateway isn't being stopped, and the retry goes to another target, or the connection was reused and so may be dead. Targets that are gone are noticed by their owners' change, refusals and the deadline, as orders have it.

--- a/packages/gateway/peridot_gateway/budget.py
+++ b/packages/gateway/peridot_gateway/budget.py
@@ -36,15 +36,19 @@
         """Record a request of a caller."""
         self._current_step()[1] += 1
 
-    def try_spend(self) -> bool:
-        """Take one retry from the budget; return False if the window's is used up."""
-        step = self._current_step()
+    def has_room(self) -> bool:
+        """Return whether the window's budget has room for one more retry."""
+        self._current_step()
         requests = sum(item[1] for item in self.steps)
         retries = sum(item[2] for item in self.steps)
         share = self.limits.minimum / max(1, self.count_vms())
-        if retries + 1 > USED_SHARE * (self.limits.ratio * requests + share):
+        return retries + 1 <= USED_SHARE * (self.limits.ratio * requests + share)
+
+    def try_spend(self) -> bool:
+        """Take one retry from the budget; return False if the window's is used up."""
+        if not self.has_room():
             return False
-        step[2] += 1
+        self._current_step()[2] += 1
         return True
 
     def _current_step(self) -> list[float]:
--- a/packages/gateway/peridot_gateway/daemon.py
+++ b/packages/gateway/peridot_gateway/daemon.py
@@ -176,7 +176,7 @@
         began = monotonic()
         deadline = began + self.settings.stop_timeout_s - STOP_MARGIN_S
         self.log.write("stopping", open_requests=self.ingress.open_requests)
-        self.ingress.stopping = True
+        self.ingress.stopping = self.router.stopping = True
         self.fleet.leave()
         await asyncio.sleep(min(BALANCER_NOTICE_S, self.settings.stop_timeout_s / 2))
         await self.ingress.close(deadline)
--- a/packages/gateway/peridot_gateway/router.py
+++ b/packages/gateway/peridot_gateway/router.py
@@ -74,6 +74,8 @@
         self.budgets: dict[str, RetryBudget] = {}
         self.key_counts: dict[str, Counter[int]] = {}
         self.retries = 0
+        # Whether the gateway is being stopped: it gives up no requests then.
+        self.stopping = False
 
     async def handle(self, request: GatewayRequest) -> Outcome:
         """Return the final outcome of a request."""
@@ -206,7 +208,12 @@
         self, request: GatewayRequest, target: TargetInstance
     ) -> Outcome:
         silence_timeout_s = self._silence_timeout_s(request, target)
-        result = await self.parts.sender.attempt(request, target, silence_timeout_s)
+        result = await self.parts.sender.attempt(
+            request,
+            target,
+            silence_timeout_s,
+            lambda is_reused: self._may_give_up(request, target, is_reused),
+        )
         outcome = result.outcome
         if not (isinstance(outcome, NotRun) and outcome.reason in UNDELIVERED_REASONS):
             request.delivery_count += 1
@@ -224,6 +231,24 @@
             self._log_attempt(request, target, result)
         return result
 
+    def _may_give_up(
+        self, request: GatewayRequest, target: TargetInstance, is_reused: bool
+    ) -> bool:
+        """Return whether an attempt at a silent target may be given up for another.
+
+        The target may be at work on it. Another attempt must be possible, and at
+        another target, unless the connection was reused and so may be dead.
+        """
+        if self.stopping or not self._get_budget(request.service.name).has_room():
+            return False
+        if is_reused:
+            return True
+        if request.service.divided_by_key:
+            owner = self.parts.owners.find(request.service.name, request.key)
+            return owner not in ("", target.name)
+        tried = request.tried_targets | {target.name}
+        return len(tried) < request.route.max_targets
+
     def _silence_timeout_s(
         self, request: GatewayRequest, target: TargetInstance
     ) -> float:
--- a/packages/gateway/peridot_gateway/sender.py
+++ b/packages/gateway/peridot_gateway/sender.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from dataclasses import dataclass, replace
 from time import monotonic
 
@@ -119,18 +119,20 @@
 
 @asynccontextmanager
 async def silence_timeout(
-    estimate: TargetEstimate, timeout_s: float
+    estimate: TargetEstimate, timeout_s: float, may_give_up: Callable[[], bool]
 ) -> AsyncIterator[None]:
     """Raise TimeoutError after a time (s) in which the target is silent.
 
-    Responses to other requests extend it.
+    Responses to other requests extend it, and so does a request that must not be given
+    up.
     """
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(None) as timeout:
 
         def check() -> None:
             nonlocal handle
-            if monotonic() - estimate.last_response_at > timeout_s / 2:
+            silent_s = monotonic() - estimate.last_response_at
+            if silent_s > timeout_s / 2 and may_give_up():
                 timeout.reschedule(loop.time())
             else:
                 handle = loop.call_later(timeout_s / 2, check)
@@ -185,11 +187,16 @@
         self.response_reader = ResponseReader()
 
     async def attempt(
-        self, request: GatewayRequest, target: TargetInstance, silence_timeout_s: float
+        self,
+        request: GatewayRequest,
+        target: TargetInstance,
+        silence_timeout_s: float,
+        may_give_up: Callable[[bool], bool] = lambda is_reused: True,
     ) -> AttemptResult:
         """Send a request once and return the outcome.
 
-        The attempt ends before the deadline if the target is silent for a time (s).
+        The attempt ends before the deadline if the target is silent for a time (s) and
+        it may be given up, which depends on whether its connection was reused.
         """
         connections = self._get_connections(target)
         began = monotonic()
@@ -200,9 +207,12 @@
             async with connections.use_session() as session:
                 token = connection_use.set(use)
                 try:
-                    result = await self._send(
-                        session, request, target, silence_timeout_s, estimate
+                    silence = silence_timeout(
+                        estimate,
+                        silence_timeout_s,
+                        lambda: may_give_up(use.idle_s is not None),
                     )
+                    result = await self._send(session, request, target, silence)
                 finally:
                     connection_use.reset(token)
                 if not use.connected and isinstance(result.outcome, Unknown):
@@ -290,8 +300,7 @@
         session: ClientSession,
         request: GatewayRequest,
         target: TargetInstance,
-        silence_timeout_s: float,
-        estimate: TargetEstimate,
+        silence: AbstractAsyncContextManager[None],
     ) -> AttemptResult:
         remaining_s = request.remaining_s() - DEADLINE_MARGIN_S
         if remaining_s <= 0:
@@ -301,7 +310,7 @@
         )
         try:
             async with (
-                silence_timeout(estimate, silence_timeout_s),
+                silence,
                 session.request(
                     request.method,
                     URL(f"http://{target.address}{request.path}", encoded=True),
--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -106,7 +106,7 @@
         self.results = results
         self.sent: list[str] = []
 
-    async def attempt(self, request, target, silence_timeout_s):
+    async def attempt(self, request, target, silence_timeout_s, may_give_up):
         self.sent.append(target.name)
         await asyncio.sleep(0)
         at = min(len(self.sent), len(self.results)) - 1
--- a/packages/gateway/tests/test_connections.py
+++ b/packages/gateway/tests/test_connections.py
@@ -233,3 +233,20 @@
         await sender.close()
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("may_give_up", [True, False])
+def test_a_silent_target_is_waited_for_while_its_request_must_not_be_given_up(
+    may_give_up, run_with_target, make_request
+):
+    async def scenario(target, sender, instance):
+        target.silent = True
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        result = await sender.attempt(
+            make_request(remaining_s=0.5), instance, 0.05, lambda is_reused: may_give_up
+        )
+        assert result.outcome == Unknown(Reason.DEADLINE)
+        assert (loop.time() - began < 0.25) == may_give_up
+
+    run_with_target(scenario)
--- a/packages/gateway/tests/test_pauses.py
+++ b/packages/gateway/tests/test_pauses.py
@@ -26,7 +26,7 @@
         self.sent: list[tuple[str, float]] = []
         self.paused: set[str] = set()
 
-    async def attempt(self, request, target, silence_timeout_s):
+    async def attempt(self, request, target, silence_timeout_s, may_give_up):
         self.sent.append((target.name, monotonic()))
         estimate = self.estimates.get(target.name)
         if target.name not in self.paused:
--- a/packages/gateway/tests/test_router.py
+++ b/packages/gateway/tests/test_router.py
@@ -235,3 +235,35 @@
     outcome = asyncio.run(router.handle(make_request(key=5, remaining_s=0.8)))
     assert isinstance(outcome, NotRun)
     assert len(sender.sent) <= 5
+
+
+def test_a_request_at_a_silent_target_is_given_up_only_for_a_better_attempt(
+    route_with, make_request, make_target, owned_by
+):
+    """Pattern: a slow target that is at work, seen from a VM with few requests.
+
+    Its run was cut for a retry at the same target, or for none (hfrc-grants-grown,
+    scale-1: LOST during a stop).
+    """
+    router, _ = route_with([OK], owners=owned_by("p"))
+    target, request = make_target("p"), make_request(key=5)
+    assert not router._may_give_up(request, target, is_reused=False)
+    # A reused connection may have gone silent although the target lives.
+    assert router._may_give_up(request, target, is_reused=True)
+    router.parts.owners.update(1, 2, {"files": OwnerTable((0,), ("q",))})
+    assert router._may_give_up(request, target, is_reused=False)
+    undivided = make_request(max_targets=2)
+    assert router._may_give_up(undivided, target, is_reused=False)
+    undivided.tried_targets.add("q")
+    assert not router._may_give_up(undivided, target, is_reused=False)
+    router.stopping = True
+    for is_reused in (True, False):
+        assert not router._may_give_up(request, target, is_reused)
+
+
+def test_no_request_is_given_up_without_a_retry_in_the_budget(
+    route_with, make_request, make_target
+):
+    router, _ = route_with([OK], minimum=0.0)
+    for is_reused in (True, False):
+        assert not router._may_give_up(make_request(), make_target("p"), is_reused)
