--- a/packages/gateway/peridot_gateway/sender.py
+++ b/packages/gateway/peridot_gateway/sender.py
@@ -28,7 +28,7 @@
 from peridot_gateway.dialect import Dialect, ResponseHeaders
 from peridot_gateway.estimates import Estimates, TargetEstimate
 from peridot_gateway.requests import GatewayRequest, end_to_end_headers
-from peridot_gateway.sockets import ConnectionUse, connection_use, open_connector
+from peridot_gateway.sockets import ConnectionUse, open_connector, use_connection
 from peridot_placement.decisions import DecisionLog
 from peridot_resources.configuration import ServiceConfiguration, TargetInstance
 from peridot_routing.attempts import AIOHTTP_AUTO_HEADERS, BODYLESS_STATUSES
@@ -38,9 +38,8 @@
 CONNECT_TIMEOUT_S = 0.35
 # Idle connections are closed before the targets close them (after 10 s at the sites).
 KEEPALIVE_TIMEOUT_S = 8.0
-# A target that forgets idle connections sooner doesn't so within this time. Only such
-# connections are used for requests that may run once: if one is reset, it is unknown
-# whether they ran.
+# Even targets that forget idle connections early keep them for this time. Requests that
+# may run once use no others: if the connection is reset, it is unknown whether they ran.
 SAFE_IDLE_S = 0.2
 # Idle connections to a target that are kept: at most this number, and this share of
 # what the target accepts from this VM.
@@ -204,56 +203,60 @@
         use = ConnectionUse(max_idle_s)
         with self.estimates.track_attempt(target.name, request.route) as estimate:
             ahead = estimate.total_in_flight(began)
+            silence = silence_timeout(
+                estimate,
+                silence_timeout_s,
+                lambda: may_give_up(use.idle_s is not None),
+            )
             async with connections.use_session() as session:
-                token = connection_use.set(use)
-                try:
-                    silence = silence_timeout(
-                        estimate,
-                        silence_timeout_s,
-                        lambda: may_give_up(use.idle_s is not None),
-                    )
+                with use_connection(use):
                     result = await self._send(session, request, target, silence)
-                finally:
-                    connection_use.reset(token)
-                if not use.connected and isinstance(result.outcome, Unknown):
-                    # Out of time, or refused in an unusual way.
-                    detail = f"not connected: {result.outcome.reason}"
-                    result = AttemptResult(NotRun(Reason.TARGET_LOST, detail=detail))
                 max_idle = self._max_idle_connections(request.service)
                 session.connector.close_idle_beyond(max_idle)
-            now = monotonic()
-            match result.outcome:
-                case Answered(status=status):
-                    reported_load = (
-                        result.response_headers.load
-                        if result.response_headers
-                        else None
-                    )
-                    if status < 500:
-                        estimate.record_response(now - began, ahead, reported_load, now)
-                    else:
-                        estimate.record_failure(now)
-                case NotRun(reason=Reason.CONNECTION_REFUSED | Reason.TARGET_LOST):
-                    estimate.record_failure(now)
-                    self.estimates.avoid(target.name)
-                case NotRun(reason=Reason.NOT_OWNER):
-                    pass
-                case NotRun(reason=Reason.SHED) if estimate.pause_remaining_s(now):
-                    # It lacks room and says for how long, so it doesn't fail.
-                    pass
-                case (
-                    NotRun(reason=Reason.SHED) | Unknown(reason=Reason.CONNECTION_LOST)
-                ):
-                    estimate.record_failure(now)
-                    full = estimate.record_refusal(target.slots, now)
-                    result = replace(result, target_full=full)
-                case _:
-                    estimate.record_failure(now)
+            if not use.connected and isinstance(result.outcome, Unknown):
+                # Out of time, or refused in an unusual way.
+                detail = f"not connected: {result.outcome.reason}"
+                result = AttemptResult(NotRun(Reason.TARGET_LOST, detail=detail))
+            result = self._record_result(target, estimate, result, began, ahead)
         if result.outcome == Unknown(Reason.DEADLINE):
             await connections.retire_session()
         self._check_reuse(connections, target, use, result)
         return result
 
+    def _record_result(
+        self,
+        target: TargetInstance,
+        estimate: TargetEstimate,
+        result: AttemptResult,
+        began: float,
+        ahead: int,
+    ) -> AttemptResult:
+        """Update a target's estimate; return the result, with whether it was full.
+
+        The attempt began at a time (s), when a number of requests were ahead of it.
+        """
+        now = monotonic()
+        headers = result.response_headers
+        match result.outcome:
+            case Answered(status=status) if status < 500:
+                reported_load = headers.load if headers else None
+                estimate.record_response(now - began, ahead, reported_load, now)
+            case NotRun(reason=Reason.CONNECTION_REFUSED | Reason.TARGET_LOST):
+                estimate.record_failure(now)
+                self.estimates.avoid(target.name)
+            case NotRun(reason=Reason.NOT_OWNER):
+                pass
+            case NotRun(reason=Reason.SHED) if estimate.pause_remaining_s(now):
+                # It lacks room and says for how long, so it doesn't fail.
+                pass
+            case NotRun(reason=Reason.SHED) | Unknown(reason=Reason.CONNECTION_LOST):
+                estimate.record_failure(now)
+                full = estimate.record_refusal(target.slots, now)
+                return replace(result, target_full=full)
+            case _:
+                estimate.record_failure(now)
+        return result
+
     def _max_idle_connections(self, service: ServiceConfiguration) -> int:
         """Return how many idle connections to keep to each target of a service.
 
--- a/packages/gateway/peridot_gateway/sockets.py
+++ b/packages/gateway/peridot_gateway/sockets.py
@@ -3,6 +3,8 @@
 import asyncio
 import socket
 import struct
+from collections.abc import Iterator
+from contextlib import contextmanager
 from contextvars import ContextVar
 from dataclasses import dataclass
 from functools import partial
@@ -88,6 +90,16 @@
 connection_use: ContextVar[ConnectionUse | None] = ContextVar("use", default=None)
 
 
+@contextmanager
+def use_connection(use: ConnectionUse) -> Iterator[None]:
+    """Apply a use of connections to the requests of this task in the context."""
+    token = connection_use.set(use)
+    try:
+        yield
+    finally:
+        connection_use.reset(token)
+
+
 class IdleLimitConnector(TCPConnector):
     """A connector with a limit of the idle time for each request."""
 
