--- a/packages/gateway/peridot_gateway/sender.py
+++ b/packages/gateway/peridot_gateway/sender.py
@@ -38,8 +38,8 @@
 CONNECT_TIMEOUT_S = 0.35
 # Idle connections are closed before the targets close them (after 10 s at the sites).
 KEEPALIVE_TIMEOUT_S = 8.0
-# Even targets that forget idle connections early keep them for this time. Requests that
-# may run once use no others: if the connection is reset, it is unknown whether they ran.
+# Even targets that forget idle connections early keep them for this time. Requests
+# that may run once use no others: after a reset it is unknown whether they ran.
 SAFE_IDLE_S = 0.2
 # Idle connections to a target that are kept: at most this number, and this share of
 # what the target accepts from this VM.
