--- a/packages/gateway/tests/test_pipelining.py
+++ b/packages/gateway/tests/test_pipelining.py
@@ -174,3 +174,23 @@
         assert router.ran == ["id-1", "id-2"]
 
     run(open_ingress, scenario)
+
+
+@pytest.mark.parametrize("closing", [0, 1])
+def test_nothing_is_started_behind_a_request_that_closes_the_connection(
+    closing, open_ingress
+):
+    async def scenario(ingress, router, reader, writer):
+        for n in range(3):
+            ending = "Connection: close\r\n" if n == closing else ""
+            writer.write(
+                f"GET /a/{n} HTTP/1.1\r\nHost: a.example\r\n{ending}"
+                f"X-Attempt-Id: id-{n}\r\n\r\n".encode()
+            )
+            await asyncio.sleep(0.01)
+        for n in range(closing + 1):
+            assert await read_response(reader) == (200, f"id-{n}".encode())
+        assert await reader.read() == b""
+        assert router.ran == [f"id-{n}" for n in range(closing + 1)]
+
+    run(open_ingress, scenario)
