--- a/packages/gateway/peridot_gateway/estimates.py
+++ b/packages/gateway/peridot_gateway/estimates.py
@@ -44,8 +44,6 @@
     """Load, processing time and failures of one target, as estimated by this VM."""
 
     in_flight: int = 0
-    # Requests in flight at the last report to the placer.
-    reported_in_flight: int = 0
     # Requests in flight from other VMs, and when they were reported (s).
     others_in_flight: int = 0
     others_updated_at: float = float("-inf")
@@ -183,13 +181,12 @@
         finally:
             estimate.in_flight -= 1
 
-    def set_in_flight_totals(self, totals: Mapping[str, int]) -> None:
-        """Set the requests in flight from all VMs, this one included, by target."""
+    def set_in_flight(self, totals: Mapping[str, int], own: Mapping[str, int]) -> None:
+        """Set the requests in flight from all VMs, and this VM's part of them."""
         now = monotonic()
         for name in self.targets.keys() | totals.keys():
             estimate = self.get(name)
-            others = totals.get(name, 0) - estimate.reported_in_flight
-            estimate.others_in_flight = max(0, others)
+            estimate.others_in_flight = totals.get(name, 0) - own.get(name, 0)
             estimate.others_updated_at = now
 
     def mark_gone(self, target: str) -> None:
--- a/packages/gateway/peridot_gateway/fleet.py
+++ b/packages/gateway/peridot_gateway/fleet.py
@@ -358,8 +358,9 @@
 
     def _report_locally(self) -> None:
         self.parts.load.record_report(self.build_report())
-        totals = self.parts.load.in_flight_totals()
-        self.parts.estimates.set_in_flight_totals(totals)
+        load = self.parts.load
+        own = load.in_flight.get(self.local_instance.vm, {})
+        self.parts.estimates.set_in_flight(load.in_flight_totals(), own)
         self.follower.peers.update(
             [self.local_instance, *self.leader.roster.instances()]
         )
@@ -380,7 +381,6 @@
         for name, started_ms in self.parts.load.targets.announced_leaving.items():
             report.targets.add(target=name, leaving=True, started_ms=started_ms)
         for name, item in self.parts.estimates.targets.items():
-            item.reported_in_flight = item.in_flight
             if item.in_flight or item.finished or item.failed:
                 report.targets.add(
                     target=name,
--- a/packages/gateway/peridot_gateway/following.py
+++ b/packages/gateway/peridot_gateway/following.py
@@ -122,8 +122,11 @@
         if state.in_flight_names:
             self.in_flight_names = list(state.in_flight_names)
         if len(state.in_flight_counts) == len(self.in_flight_names):
-            totals = zip(self.in_flight_names, state.in_flight_counts, strict=True)
-            self.estimates.set_in_flight_totals(dict(totals))
+            names = self.in_flight_names
+            totals = dict(zip(names, state.in_flight_counts, strict=True))
+            indexes, counts = state.own_in_flight_indexes, state.own_in_flight_counts
+            own = {names[i]: count for i, count in zip(indexes, counts, strict=True)}
+            self.estimates.set_in_flight(totals, own)
 
     def _apply_target_entries(self, state: pb.FleetState) -> None:
         """Apply the changes of targets that the placer pushed, if there are any."""
--- a/packages/gateway/peridot_gateway/states.py
+++ b/packages/gateway/peridot_gateway/states.py
@@ -59,6 +59,8 @@
     in_flight_names: tuple[str, ...] = ()
     in_flight_counts: list[int] = field(default_factory=list)
     in_flight_at: float = float("-inf")
+    in_flight_indexes: dict[str, int] = field(default_factory=dict)
+    in_flight_by_vm: dict[str, dict[str, int]] = field(default_factory=dict)
 
     def build_state(self, placer: Placer, vm: str, sent: SentState) -> pb.FleetState:
         """Return the state for a member, without what it has been sent already."""
@@ -80,7 +82,7 @@
             sent.roster_version = self.roster.version
             sent.roster_sent_at = monotonic()
         if monotonic() >= sent.in_flight_sent_at + IN_FLIGHT_PERIOD_S:
-            self._add_in_flight(state, sent)
+            self._add_in_flight(state, vm, sent)
             sent.in_flight_sent_at = monotonic()
         if self.load.targets.reachable and self.load.targets.loaded:
             self._add_target_entries(state, sent)
@@ -158,14 +160,21 @@
             return True
         return monotonic() >= sent.roster_sent_at + ROSTER_PERIOD_S * count
 
-    def _add_in_flight(self, state: pb.FleetState, sent: SentState) -> None:
+    def _add_in_flight(self, state: pb.FleetState, vm: str, sent: SentState) -> None:
         now = monotonic()
         if now >= self.in_flight_at + IN_FLIGHT_PERIOD_S / 2:
             totals = self.load.in_flight_totals()
             self.in_flight_names = tuple(self.load.targets.targets)
             self.in_flight_counts = [totals[name] for name in self.in_flight_names]
+            self.in_flight_indexes = {n: i for i, n in enumerate(self.in_flight_names)}
+            # The parts that the totals consist of, also after later reports.
+            self.in_flight_by_vm = dict(self.load.in_flight)
             self.in_flight_at = now
         if sent.in_flight_names != self.in_flight_names:
             state.in_flight_names.extend(self.in_flight_names)
             sent.in_flight_names = self.in_flight_names
         state.in_flight_counts.extend(self.in_flight_counts)
+        for name, count in self.in_flight_by_vm.get(vm, {}).items():
+            if name in self.in_flight_indexes:
+                state.own_in_flight_indexes.append(self.in_flight_indexes[name])
+                state.own_in_flight_counts.append(count)
--- a/packages/gateway/tests/test_estimates.py
+++ b/packages/gateway/tests/test_estimates.py
@@ -54,12 +54,12 @@
 
 
 def test_requests_in_flight_of_this_vm_are_not_counted_twice():
-    """The placer sends the same totals to all VMs."""
+    """The placer sends the same totals to all VMs, and each its own part of them."""
     estimates = Estimates()
-    estimates.get("t").reported_in_flight = 2
-    estimates.set_in_flight_totals({"t": 5, "u": 1})
+    estimates.get("t").in_flight = 7
+    estimates.set_in_flight({"t": 5, "u": 1}, {"t": 2})
     assert estimates.get("t").others_in_flight == 3
     assert estimates.get("u").others_in_flight == 1
-    estimates.set_in_flight_totals({"t": 1})
+    estimates.set_in_flight({"t": 1}, {"t": 1})
     assert estimates.get("t").others_in_flight == 0
     assert estimates.get("u").others_in_flight == 0
--- a/packages/gateway/tests/test_leading.py
+++ b/packages/gateway/tests/test_leading.py
@@ -201,3 +201,26 @@
                 assert second.patched_sequence == first.sequence
 
     asyncio.run(scenario())
+
+
+def test_members_get_the_requests_in_flight_of_the_others():
+    """A part that was reported later than the totals were made isn't taken off."""
+
+    async def scenario():
+        async with lead() as (_, leader, _):
+            leader.load.targets.targets |= {"t-1": None, "t-2": None}
+            for vm, count in (("vm-2", 3), ("vm-3", 4)):
+                report = make_report(True)
+                report.vm = vm
+                report.targets.add(target="t-2", in_flight=count)
+                leader.handle_report(report)
+            first = leader.build_state("vm-2", SentState())
+            report.targets[0].in_flight = 9
+            leader.handle_report(report)
+            second = leader.build_state("vm-3", SentState())
+            for state, own in ((first, 3), (second, 4)):
+                assert list(state.in_flight_counts) == [0, 7]
+                assert list(state.own_in_flight_indexes) == [1]
+                assert list(state.own_in_flight_counts) == [own]
+
+    asyncio.run(scenario())
