Give up requests at silent owners of keys again, but not during a stop

A response that is lost leaves a silent connection, and a second attempt at the owner may still be in time.

--- a/packages/gateway/peridot_gateway/router.py
+++ b/packages/gateway/peridot_gateway/router.py
@@ -212,7 +212,7 @@
             request,
             target,
             silence_timeout_s,
-            lambda is_reused: self._may_give_up(request, target, is_reused),
+            lambda: self._may_give_up(request, target),
         )
         outcome = result.outcome
         if not (isinstance(outcome, NotRun) and outcome.reason in UNDELIVERED_REASONS):
@@ -231,21 +231,17 @@
             self._log_attempt(request, target, result)
         return result
 
-    def _may_give_up(
-        self, request: GatewayRequest, target: TargetInstance, is_reused: bool
-    ) -> bool:
+    def _may_give_up(self, request: GatewayRequest, target: TargetInstance) -> bool:
         """Return whether an attempt at a silent target may be given up for another.
 
-        The target may be at work on it. Another attempt must be possible, and at
-        another target, unless the connection was reused and so may be dead.
+        The target may be at work on it, so another attempt must be possible; while the
+        gateway is being stopped, none is given up. An owner of keys is tried again: its
+        response may have been lost.
         """
         if self.stopping or not self._get_budget(request.service.name).has_room():
             return False
-        if is_reused:
-            return True
         if request.service.divided_by_key:
-            owner = self.parts.owners.find(request.service.name, request.key)
-            return owner not in ("", target.name)
+            return True
         tried = request.tried_targets | {target.name}
         return len(tried) < request.route.max_targets
 
--- a/packages/gateway/peridot_gateway/sender.py
+++ b/packages/gateway/peridot_gateway/sender.py
@@ -190,12 +190,12 @@
         request: GatewayRequest,
         target: TargetInstance,
         silence_timeout_s: float,
-        may_give_up: Callable[[bool], bool] = lambda is_reused: True,
+        may_give_up: Callable[[], bool] = lambda: True,
     ) -> AttemptResult:
         """Send a request once and return the outcome.
 
         The attempt ends before the deadline if the target is silent for a time (s) and
-        it may be given up, which depends on whether its connection was reused.
+        it may be given up.
         """
         connections = self._get_connections(target)
         began = monotonic()
@@ -203,11 +203,7 @@
         use = ConnectionUse(max_idle_s)
         with self.estimates.track_attempt(target.name, request.route) as estimate:
             ahead = estimate.total_in_flight(began)
-            silence = silence_timeout(
-                estimate,
-                silence_timeout_s,
-                lambda: may_give_up(use.idle_s is not None),
-            )
+            silence = silence_timeout(estimate, silence_timeout_s, may_give_up)
             async with connections.use_session() as session:
                 with use_connection(use):
                     result = await self._send(session, request, target, silence)
