Wait for a release only until the lease ends

Cause: a release at a target that is silent hangs on a kept connection for its whole timeout of 2.5 s, so that the keys of a target that is gone moved up to 3.4 s after its last renewal, and later since a target needs two failed renewals. The call now ends with the lease. The test failed before.

--- a/packages/ownership/peridot_ownership/granter.py
+++ b/packages/ownership/peridot_ownership/granter.py
@@ -216,9 +216,10 @@
 
     async def _release(self, state: TargetState, keys: KeyRange) -> ReleaseOutcome:
         target, fence = state.target, self.record_writer.record.last_fence
-        outcome = await self.lease_client.release(
-            target, keys, fence, RELEASE_TIMEOUT_S
-        )
+        # A target that is gone doesn't answer; its lease ends without it.
+        expires_in_s = self._expires_at(state, keys) - boot_time()
+        timeout_s = min(RELEASE_TIMEOUT_S, max(RETRY_PAUSE_S, expires_in_s))
+        outcome = await self.lease_client.release(target, keys, fence, timeout_s)
         outcome = self._resolve_denial(target, outcome)
         if not isinstance(outcome, Released):
             self._log_call("release", target, keys, fence, outcome)
@@ -264,9 +265,12 @@
         return max(expires_at, self.unanswered_grants_end)
 
     def _has_expired(self, state: TargetState, keys: KeyRange) -> bool:
-        now = boot_time()
-        expires_at = self.ledger.held_until(state.target.name, keys, now)
-        return now >= max(expires_at, self.revocable_from(state, keys))
+        return boot_time() >= self._expires_at(state, keys)
+
+    def _expires_at(self, state: TargetState, keys: KeyRange) -> float:
+        """Return when all of a target's leases on keys have expired (s)."""
+        held_until = self.ledger.held_until(state.target.name, keys, boot_time())
+        return max(held_until, self.revocable_from(state, keys))
 
     async def wait_until(self, time_s: float) -> None:
         """Wait until a time of the boot clock (s)."""
--- a/packages/ownership/tests/test_placer.py
+++ b/packages/ownership/tests/test_placer.py
@@ -828,3 +828,20 @@
     next_renewal_s = placer_module.RENEWAL_PERIOD_S
     unusable_s = UNUSABLE_AFTER_S + rights_module.GRANT_TIMEOUT_S
     assert unusable_s + next_renewal_s <= max_lease_s(rights_module.LEASE_S)
+
+
+def test_the_release_at_a_silent_target_is_waited_for_until_its_lease_ends(monkeypatch):
+    """A call on a kept connection hangs, and delayed the move by its whole timeout."""
+    monkeypatch.setattr(granter_module, "RELEASE_TIMEOUT_S", 3.0)
+
+    async def check():
+        harness = PlacerHarness("a b")
+        async with harness.run_placer("vm1") as placer:
+            await wait_until(placer, lambda: harness.owners(placer) == {"a", "b"})
+            harness.lease_client.holder("a").reachable = False
+            # A lease and its margins, and the detection before it.
+            limit_s = 2 * max_lease_s(LEASE_S)
+            await wait_until(placer, lambda: harness.owners(placer) == {"b"}, limit_s)
+        assert not harness.lease_client.violations
+
+    run(check())
