Keep the platform's header names out of the gateway's tests

Cause: the tests of pipelining and uploads, and their fixture, used the platform's names of headers and its dialect; only platform/ and the stand-ins may know them.

Change: a small dialect of their own with plain names; two comments in usual terms. Nothing of the product changed, and no check.

--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -12,6 +12,7 @@
 from peridot_fakes.fleet import free_ports
 from peridot_gateway.admission import Admission
 from peridot_gateway.budget import RetryBudgetLimits
+from peridot_gateway.dialect import CallerHeaders
 from peridot_gateway.estimates import Estimates
 from peridot_gateway.ingress import Ingress
 from peridot_gateway.owners import Owners, OwnerTable
@@ -21,7 +22,6 @@
 from peridot_gateway.routes import RouteIndex
 from peridot_gateway.sender import AttemptResult
 from peridot_placement.decisions import MemoryDecisionLog
-from peridot_platform.dialect import PlatformDialect
 from peridot_resources.configuration import (
     CallerLimits,
     Configuration,
@@ -162,6 +162,15 @@
     return build
 
 
+class CallerDialect:
+    """A dialect with plain names of the headers that callers send."""
+
+    def parse_caller_headers(self, headers) -> CallerHeaders:
+        deadline_ms = headers.get("Deadline-Ms")
+        deadline_s = None if deadline_ms is None else int(deadline_ms) / 1000
+        return CallerHeaders(headers.get("Request-Id", ""), deadline_s, None)
+
+
 class DelayingRouter:
     """A router that responds to /a/N after a delay; odd ones are refused."""
 
@@ -206,7 +215,7 @@
         )
         router = DelayingRouter()
         ingress = Ingress(
-            PlatformDialect(),
+            CallerDialect(),
             source,
             router,
             Metrics(),
--- a/packages/gateway/tests/test_connections.py
+++ b/packages/gateway/tests/test_connections.py
@@ -1,6 +1,6 @@
 """Pattern: targets forget idle connections without notice, sooner than usual.
 
-Requests that may run once must not ride on a doubtful connection; others learn from
+Requests that may run once must not use an idle connection; others learn from
 the first reset. New connections cost the targets a slot, so that the rest is reused.
 """
 
--- a/packages/gateway/tests/test_pauses.py
+++ b/packages/gateway/tests/test_pauses.py
@@ -70,7 +70,7 @@
 
 
 def test_keys_of_a_paused_owner_are_refused_at_once(overloaded, make_request, owned_by):
-    """The pause outlasts what the caller can wait for."""
+    """The pause is longer than the caller can wait."""
 
     async def scenario():
         router, sender = overloaded(owned_by("p"))
--- a/packages/gateway/tests/test_pipelining.py
+++ b/packages/gateway/tests/test_pipelining.py
@@ -21,8 +21,8 @@
         method = "POST" if path.startswith("/o/") else "GET"
         writer.write(
             f"{method} {path} HTTP/1.1\r\nHost: a.example\r\n"
-            f"X-Attempt-Id: {request_id}\r\n"
-            "X-Request-Deadline-Ms: 1200\r\n\r\n".encode()
+            f"Request-Id: {request_id}\r\n"
+            "Deadline-Ms: 1200\r\n\r\n".encode()
         )
 
 
@@ -185,7 +185,7 @@
             ending = "Connection: close\r\n" if n == closing else ""
             writer.write(
                 f"GET /a/{n} HTTP/1.1\r\nHost: a.example\r\n{ending}"
-                f"X-Attempt-Id: id-{n}\r\n\r\n".encode()
+                f"Request-Id: id-{n}\r\n\r\n".encode()
             )
             await asyncio.sleep(0.01)
         for n in range(closing + 1):
--- a/packages/gateway/tests/test_uploads.py
+++ b/packages/gateway/tests/test_uploads.py
@@ -15,8 +15,8 @@
         else (f"Content-Length: {length}")
     )
     return (
-        f"POST /o/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: {request_id}\r\n"
-        f"X-Request-Deadline-Ms: {deadline_ms}\r\n{framing}\r\n\r\n"
+        f"POST /o/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: {request_id}\r\n"
+        f"Deadline-Ms: {deadline_ms}\r\n{framing}\r\n\r\n"
     ).encode()
 
 
