--- a/packages/gateway/tests/test_router.py
+++ b/packages/gateway/tests/test_router.py
@@ -261,3 +261,49 @@
 ):
     router, _ = route_with([OK], minimum=0.0)
     assert not router._may_give_up(make_request(), make_target("p"))
+
+
+def move_key_during_first_attempt(sender, owners, next_owners) -> None:
+    """Make the key move from owner to owner while the first attempt lasts."""
+    send = sender.attempt
+
+    async def attempt(*arguments):
+        result = await send(*arguments)
+        if len(sender.sent) == 1:
+            for owner in next_owners:
+                table = OwnerTable((0,), (owner,))
+                owners.update(1, owners.sequence + 1, {"files": table})
+        return result
+
+    sender.attempt = attempt
+
+
+# Guards against two runs of one attempt at a target under two leases, with another
+# owner in between: the first response was lost while the key moved away and back.
+def test_a_request_that_may_have_run_is_not_sent_to_its_target_under_a_later_lease(
+    route_with, make_request, owned_by
+):
+    owners = owned_by("p")
+    router, sender = route_with([LOST, OK], owners=owners)
+    move_key_during_first_attempt(sender, owners, ["", "q", "", "p"])
+    outcome = asyncio.run(router.handle(make_request(key=5)))
+    assert sender.sent == ["p"]
+    assert isinstance(outcome, Unknown)
+
+
+def test_a_request_whose_response_was_lost_is_retried_at_an_owner_that_kept_its_key(
+    route_with, make_request, owned_by
+):
+    router, sender = route_with([LOST, OK], owners=owned_by("p"))
+    assert asyncio.run(router.handle(make_request(key=5))) == OK.outcome
+    assert sender.sent == ["p", "p"]
+
+
+def test_a_request_whose_response_was_lost_is_retried_at_the_next_owner(
+    route_with, make_request, owned_by
+):
+    owners = owned_by("p")
+    router, sender = route_with([LOST, OK], owners=owners)
+    move_key_during_first_attempt(sender, owners, ["", "q"])
+    assert asyncio.run(router.handle(make_request(key=5))) == OK.outcome
+    assert sender.sent == ["p", "q"]
