--- a/packages/ownership/peridot_ownership/granter.py
+++ b/packages/ownership/peridot_ownership/granter.py
@@ -219,10 +219,18 @@
         # A target that is gone doesn't answer; its lease ends without it.
         expires_in_s = self._expires_at(state, keys) - boot_time()
         timeout_s = min(RELEASE_TIMEOUT_S, max(RETRY_PAUSE_S, expires_in_s))
+        sent_at = boot_time()
         outcome = await self.lease_client.release(target, keys, fence, timeout_s)
         outcome = self._resolve_denial(target, outcome)
-        if not isinstance(outcome, Released):
-            self._log_call("release", target, keys, fence, outcome)
+        self._log_call(
+            "release",
+            target,
+            keys,
+            fence,
+            outcome,
+            handover=getattr(outcome, "handover", None) or "-",
+            took_ms=round((boot_time() - sent_at) * 1000, 1),
+        )
         return outcome
 
     def expect_lost_leases(self, earlier_leases: EarlierLeases) -> None:
