Never reuse a connection on which bytes arrived while it was idle

Callers of targets saw: a second copy of a response that came when no request was outstanding was taken for the response to the next call on that connection. Requests of callers were told apart by the id (502 instead of the order's result); grants and releases, whose responses carry no id, were not.

Cause: aiohttp parses what arrives on an idle connection and keeps it for the next request. The same holds for a copy that comes in one segment with the end of the response before it, and for one that the event loop has not read when the next request takes the connection.

Change: the connector marks connections that are idle; bytes close them at once. A connection is only taken from the pool if nothing is waiting in its socket and its protocol has nothing left over. Both hold with and without a limit of the idle time. Dead connections no longer hide live ones in the pool. A copy that arrives after the next request was sent is not covered: ids or connections of their own must tell it.

Evidence: before, five cases of the two new tests failed with "AssertionError: assert b'01' == b'02'" (the copy of the first response in place of the second); now they pass, and so do packages/gateway and test_adapter.py (222 tests).

--- a/packages/gateway/peridot_gateway/sockets.py
+++ b/packages/gateway/peridot_gateway/sockets.py
@@ -1,6 +1,7 @@
 """Connections that are reset on close and that bound the size of responses."""
 
 import asyncio
+import select
 import socket
 import struct
 from collections.abc import Iterator
@@ -26,18 +27,21 @@
 
 
 class BoundedResponseHandler(ResponseHandler):
-    """Close the connection when a response has too many bytes of any kind.
+    """Close a connection with bytes that belong to no request, or with too many.
 
-    aiohttp limits header lines, but not interim responses or chunk extensions.
+    aiohttp limits header lines, but not interim responses or chunk extensions. It would
+    take a response that arrived on an idle connection for that to the next request.
     """
 
     received_bytes = 0
     has_head = False
+    is_idle = False
 
     def set_response_params(self, **params) -> None:
         """Reset the count for the next response."""
         self.received_bytes = 0
         self.has_head = False
+        self.is_idle = False
         super().set_response_params(**params)
 
     def feed_data(self, item, size: int = 0) -> None:
@@ -47,7 +51,11 @@
         super().feed_data(item, size)
 
     def data_received(self, data: bytes) -> None:
-        """Count received bytes and abort the connection if there are too many."""
+        """Close an idle connection; otherwise count the bytes and limit them."""
+        # aiohttp also calls this without data, when it resumes reading.
+        if self.is_idle and data:
+            self.close()
+            return
         super().data_received(data)
         self.received_bytes += len(data)
         if self.received_bytes > (
@@ -55,6 +63,15 @@
         ):
             self._abort_connection()
 
+    def can_be_reused(self) -> bool:
+        """Return whether the connection is open and nothing has arrived on it."""
+        if not self.is_connected() or self.should_close:
+            return False
+        # The event loop may not have read yet what has arrived.
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not poll.poll(0)
+
     def _abort_connection(self) -> None:
         error = ClientPayloadError("the response has too many bytes")
         if self._payload is not None:
@@ -101,22 +118,32 @@
 
 
 class IdleLimitConnector(TCPConnector):
-    """A connector with a limit of the idle time for each request."""
+    """A connector with a limit of the idle time for each request.
+
+    Connections on which bytes arrived while they were idle are not used again.
+    """
 
     async def _get(self, key, traces):
         # aiohttp has one limit for all requests of a connector, and takes the
         # connection first that has been idle for the longest time.
         use = connection_use.get()
         connections = self._conns.get(key)
-        if use is not None and connections:
-            protocol, released_at = connections[-1]
-            idle_s = monotonic() - released_at
-            if idle_s > use.max_idle_s or not protocol.is_connected():
-                return None
-            use.idle_s = idle_s
+        while connections and not connections[-1][0].can_be_reused():
+            protocol, _ = connections.pop()
+            protocol.close()
+        if connections:
+            idle_s = monotonic() - connections[-1][1]
+            if use is not None:
+                if idle_s > use.max_idle_s:
+                    return None
+                use.idle_s = idle_s
             connections.rotate(1)
         return await super()._get(key, traces)
 
+    def _release(self, key, protocol, *, should_close=False):
+        super()._release(key, protocol, should_close=should_close)
+        protocol.is_idle = True
+
     async def connect(self, req, traces, timeout):
         """Return a connection, and note that the request has got one."""
         connection = await super().connect(req, traces, timeout)
--- a/packages/gateway/tests/test_connections.py
+++ b/packages/gateway/tests/test_connections.py
@@ -9,13 +9,19 @@
 from dataclasses import replace
 
 import pytest
+from aiohttp import ClientSession
 
 from peridot_fakes.fleet import free_ports
 from peridot_gateway import sender as sender_module
 from peridot_gateway.dialect import ResponseHeaders
 from peridot_gateway.estimates import Estimates
 from peridot_gateway.sender import Sender
-from peridot_gateway.sockets import IdleLimitConnector
+from peridot_gateway.sockets import (
+    ConnectionUse,
+    IdleLimitConnector,
+    open_connector,
+    use_connection,
+)
 from peridot_placement.decisions import MemoryDecisionLog
 from peridot_routing.outcomes import Answered, NotRun, Reason, Unknown
 
@@ -190,6 +196,89 @@
     asyncio.run(scenario())
 
 
+class NumberingTarget:
+    """A target that numbers its responses and sends a copy of one when told."""
+
+    def __init__(self) -> None:
+        self.requests = self.connections = 0
+        self.splits_responses = False
+        self.writer = None
+
+    async def serve(self, reader, writer) -> None:
+        self.connections += 1
+        self.writer = writer
+        try:
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                self.requests += 1
+                if self.splits_responses:
+                    await self.send_split_response()
+                else:
+                    self.send_response()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            writer.close()
+
+    def send_response(self) -> None:
+        """Send a response with the number of the last request."""
+        self.writer.write(RESPONSE.replace(b"ok", b"%02d" % self.requests))
+
+    async def send_split_response(self) -> None:
+        """Send the first half of a response, then the rest together with a copy."""
+        response = RESPONSE.replace(b"ok", b"%02d" % self.requests)
+        self.writer.write(response[:-1])
+        await asyncio.sleep(0.02)
+        self.writer.write(response[-1:] + response)
+
+
+# Guards against a copy of a response being taken for the response to the next request.
+@pytest.mark.parametrize("use", [None, ConnectionUse(max_idle_s=10.0)])
+@pytest.mark.parametrize("is_read", [True, False])
+def test_a_connection_that_received_bytes_while_idle_is_not_used_again(use, is_read):
+    async def fetch(session, url) -> bytes:
+        if use is None:
+            async with session.get(url) as response:
+                return await response.read()
+        with use_connection(replace(use)):
+            async with session.get(url) as response:
+                return await response.read()
+
+    async def run():
+        (port,) = free_ports(1)
+        url = f"http://127.0.0.1:{port}/"
+        target = NumberingTarget()
+        async with (
+            await asyncio.start_server(target.serve, "127.0.0.1", port),
+            ClientSession(connector=open_connector()) as session,
+        ):
+            assert await fetch(session, url) == b"01"
+            target.send_response()
+            if is_read:
+                await asyncio.sleep(0.05)
+            assert await fetch(session, url) == b"02"
+            assert await fetch(session, url) == b"03"
+        assert (target.requests, target.connections) == (3, 2)
+
+    asyncio.run(run())
+
+
+# Guards against a copy that arrives together with the end of its response.
+def test_a_connection_whose_response_ended_with_a_copy_is_not_used_again():
+    async def run():
+        (port,) = free_ports(1)
+        target = NumberingTarget()
+        target.splits_responses = True
+        async with (
+            await asyncio.start_server(target.serve, "127.0.0.1", port),
+            ClientSession(connector=open_connector()) as session,
+        ):
+            for body in (b"01", b"02"):
+                async with session.get(f"http://127.0.0.1:{port}/") as response:
+                    assert await response.read() == body
+        assert (target.requests, target.connections) == (2, 2)
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize(("vms", "kept"), [(1, 4), (10, 2), (100, 1)])
 def test_a_burst_leaves_few_idle_connections(vms, kept, run_with_target, make_request):
     """Pattern: a hot key. Idle connections of all VMs filled a target's limit.
