--- a/packages/fakes/tests/test_adapter.py
+++ b/packages/fakes/tests/test_adapter.py
@@ -20,7 +20,7 @@
     WriteUnknown,
     Written,
 )
-from peridot_ownership.holds import Grant, Unanswered
+from peridot_ownership.holds import Grant, Granted, Released, Unanswered
 from peridot_ownership.ranges import ALL_KEYS
 from peridot_platform import store as store_module
 from peridot_platform.configuration import parse_configuration
@@ -300,3 +300,96 @@
         assert isinstance(outcome, Unanswered)
 
     asyncio.run(run())
+
+
+class LeaseTarget:
+    """A target that answers grants and releases, by default without any id."""
+
+    def __init__(self) -> None:
+        self.connections = 0
+        self.paths: list[str] = []
+        self.ids: list[str] = []
+        # Connection of each call, by its number.
+        self.used: list[int] = []
+        self.echoed: list[str | None] = []
+        # Sent before the response to a release, as a late copy would come.
+        self.copy = b""
+
+    async def serve(self, reader, writer) -> None:
+        self.connections += 1
+        connection = self.connections
+        with suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = int(read_header(head, "Content-Length"))
+                await reader.readexactly(length)
+                self.paths.append(head.split()[1].decode())
+                self.ids.append(read_header(head, "X-Attempt-Id"))
+                self.used.append(connection)
+                if self.copy and self.paths[-1] == "/-/release":
+                    if self.used.index(connection) < len(self.used) - 1:
+                        writer.write(self.copy)
+                    await asyncio.sleep(0.05)
+                writer.write(self.build_response())
+        writer.close()
+
+    def build_response(self) -> bytes:
+        """Return the response to the last call."""
+        lines = [b"HTTP/1.1 200 OK", b"Content-Length: 0"]
+        if self.paths[-1] == "/-/release":
+            lines.append(b"X-Handover: token")
+        if self.echoed and (echoed := self.echoed.pop(0)) is not None:
+            lines.append(b"X-Attempt-Id: " + (echoed or self.ids[-1]).encode())
+        return b"\r\n".join((*lines, b"", b""))
+
+
+def read_header(head: bytes, name: str) -> str:
+    for line in head.decode().splitlines():
+        found, _, value = line.partition(":")
+        if found.lower() == name.lower():
+            return value.strip()
+    return ""
+
+
+def run_with_lease_target(scenario) -> None:
+    async def run():
+        (port,) = free_ports(1)
+        fake, lease_client = LeaseTarget(), PlatformLeaseClient()
+        target = TargetInstance("t", "s", f"127.0.0.1:{port}", "a", 3, False, 0.0)
+        async with (
+            asyncio.timeout(5),
+            await asyncio.start_server(fake.serve, "127.0.0.1", port),
+        ):
+            await scenario(fake, lease_client, target)
+            await lease_client.close()
+
+    asyncio.run(run())
+
+
+# Guards against keys being granted elsewhere while their owner still works: the copy
+# comes after the release was sent, so nothing but the connection tells it.
+def test_a_copy_of_an_earlier_response_is_not_taken_for_that_to_a_release():
+    async def scenario(fake, lease_client, target):
+        fake.copy = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+        for fence in (1, 2):
+            grant = Grant(ALL_KEYS, fence, 2.5)
+            assert await lease_client.grant(target, grant, 1.0) == Granted()
+            released = await lease_client.release(target, ALL_KEYS, fence, 1.0)
+            assert released == Released("token")
+
+    run_with_lease_target(scenario)
+
+
+# Guards against calls on the connection of a release, and new ones for each renewal.
+def test_releases_have_connections_of_their_own_and_renewals_share_one():
+    async def scenario(fake, lease_client, target):
+        for call in ("grant", "release", "grant", "release", "grant"):
+            if call == "grant":
+                await lease_client.grant(target, Grant(ALL_KEYS, 1, 2.5), 1.0)
+            else:
+                await lease_client.release(target, ALL_KEYS, 1, 1.0)
+        first, second, third, fourth, fifth = fake.used
+        assert first == third == fifth
+        assert len({first, second, fourth}) == 3
+
+    run_with_lease_target(scenario)
