Close the connection of a response to another request

Callers saw: after one late copy, each later request on the connection met the response to the request before it, and ended with 502, until the connection was idle for a moment.

Cause: aiohttp returns a connection to the pool with the last byte of the response, here before the head is checked, so close() on the response closed nothing.

Change: responses note their connection, and close() closes it while it is idle. If another request has it already, it stays open.

Evidence: test_a_response_to_another_request_closes_its_connection failed before: the third of three requests ended with Unknown in place of Answered. It passes now, with packages/gateway and test_adapter.py.

--- a/packages/gateway/peridot_gateway/sender.py
+++ b/packages/gateway/peridot_gateway/sender.py
@@ -28,7 +28,12 @@
 from peridot_gateway.dialect import Dialect, ResponseHeaders
 from peridot_gateway.estimates import Estimates, TargetEstimate
 from peridot_gateway.requests import GatewayRequest, end_to_end_headers
-from peridot_gateway.sockets import ConnectionUse, open_connector, use_connection
+from peridot_gateway.sockets import (
+    ClosingResponse,
+    ConnectionUse,
+    open_connector,
+    use_connection,
+)
 from peridot_placement.decisions import DecisionLog
 from peridot_resources.configuration import ServiceConfiguration, TargetInstance
 from peridot_routing.attempts import AIOHTTP_AUTO_HEADERS, BODYLESS_STATUSES
@@ -152,6 +157,7 @@
     """Return a session that adds no cookies or headers to requests."""
     session = ClientSession(
         connector=connector,
+        response_class=ClosingResponse,
         cookie_jar=DummyCookieJar(),
         skip_auto_headers=AIOHTTP_AUTO_HEADERS,
         auto_decompress=False,
--- a/packages/gateway/peridot_gateway/sockets.py
+++ b/packages/gateway/peridot_gateway/sockets.py
@@ -11,7 +11,7 @@
 from functools import partial
 from time import monotonic
 
-from aiohttp import AddrInfoType, ClientPayloadError, TCPConnector
+from aiohttp import AddrInfoType, ClientPayloadError, ClientResponse, TCPConnector
 from aiohttp.client_proto import ResponseHandler
 
 # Closing resets the connection (SO_LINGER with a timeout of 0): a request that is still
@@ -82,6 +82,28 @@
             self.transport.abort()
 
 
+class ClosingResponse(ClientResponse):
+    """A response that closes its connection even if it has been received whole.
+
+    aiohttp returns the connection to the pool with the last byte, so that close() would
+    leave open one whose response belongs to another request.
+    """
+
+    connection_protocol: BoundedResponseHandler | None = None
+
+    async def start(self, connection):
+        """Wait for the head; note the connection."""
+        self.connection_protocol = connection.protocol
+        return await super().start(connection)
+
+    def close(self) -> None:
+        """Close the connection unless another request has it already."""
+        super().close()
+        protocol = self.connection_protocol
+        if protocol is not None and protocol.is_idle:
+            protocol.close()
+
+
 def open_socket(address: AddrInfoType) -> socket.socket:
     """Return a socket that resets its connection when it is closed."""
     family, kind, protocol, _, _ = address
--- a/packages/gateway/tests/test_connections.py
+++ b/packages/gateway/tests/test_connections.py
@@ -196,6 +196,46 @@
     asyncio.run(scenario())
 
 
+# Guards against one late copy that makes each later request meet the response before.
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_a_response_to_another_request_closes_its_connection(
+    idempotent, make_request, make_target
+):
+    connections = 0
+
+    async def serve(reader, writer):
+        nonlocal connections
+        connections += 1
+        copy = b""
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                writer.write(copy)
+                if copy:
+                    await asyncio.sleep(0.05)
+                request_id = head.partition(b"Id: ")[2].partition(b"\r")[0]
+                copy = RESPONSE.replace(b"\r\n\r\n", b"\r\nId: %b\r\n\r\n" % request_id)
+                writer.write(copy)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            writer.close()
+
+    async def scenario():
+        (port,) = free_ports(1)
+        sender = Sender(SignedDialect(), Estimates(), MemoryDecisionLog())
+        target = replace(make_target("t"), address=f"127.0.0.1:{port}")
+        outcomes = []
+        async with await asyncio.start_server(serve, "127.0.0.1", port):
+            for number in range(3):
+                request = replace(make_request(idempotent), request_id=f"id-{number}")
+                result = await sender.attempt(request, target, REMAINING_S)
+                outcomes.append(type(result.outcome))
+            await sender.close()
+        assert outcomes == [Answered, Unknown, Answered]
+        assert connections == 2
+
+    asyncio.run(scenario())
+
+
 class NumberingTarget:
     """A target that numbers its responses and sends a copy of one when told."""
 
