--- a/packages/fakes/tests/test_adapter.py
+++ b/packages/fakes/tests/test_adapter.py
@@ -393,3 +393,25 @@
         assert len({first, second, fourth}) == 3
 
     run_with_lease_target(scenario)
+
+
+# Guards against the response to another call, where servers do send the id.
+@pytest.mark.parametrize("call", ["grant", "release"])
+def test_a_response_with_the_id_of_another_call_is_no_answer(call):
+    async def scenario(fake, lease_client, target):
+        async def send():
+            if call == "grant":
+                return await lease_client.grant(target, Grant(ALL_KEYS, 1, 2.5), 1.0)
+            return await lease_client.release(target, ALL_KEYS, 1, 1.0)
+
+        answered = Granted() if call == "grant" else Released("token")
+        # None: no id; "": that of the call.
+        fake.echoed = [None, "", "another", None]
+        outcomes = [await send() for _ in range(4)]
+        assert outcomes[:2] == [answered, answered]
+        assert outcomes[2] == Unanswered("response to another call")
+        assert outcomes[3] == answered
+        assert len(set(fake.ids)) == 4 and all(fake.ids)
+        assert fake.used[3] != fake.used[2]
+
+    run_with_lease_target(scenario)
