--- a/packages/fakes/tests/test_adapter.py
+++ b/packages/fakes/tests/test_adapter.py
@@ -20,7 +20,7 @@
     WriteUnknown,
     Written,
 )
-from peridot_ownership.holds import Grant, Granted, Released, Unanswered
+from peridot_ownership.holds import Grant, Granted, Outranked, Released, Unanswered
 from peridot_ownership.ranges import ALL_KEYS
 from peridot_platform import store as store_module
 from peridot_platform.configuration import parse_configuration
@@ -314,10 +314,13 @@
         self.echoed: list[str | None] = []
         # Sent before the response to a release, as a late copy would come.
         self.copy = b""
+        # Status of the first response, and whether a copy of it comes late.
+        self.first_status = 200
 
     async def serve(self, reader, writer) -> None:
         self.connections += 1
         connection = self.connections
+        first_response = b""
         with suppress(ConnectionError, asyncio.IncompleteReadError):
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -330,12 +333,19 @@
                     if self.used.index(connection) < len(self.used) - 1:
                         writer.write(self.copy)
                     await asyncio.sleep(0.05)
-                writer.write(self.build_response())
+                if self.first_status != 200 and self.used == [1, 1]:
+                    writer.write(first_response)
+                    await asyncio.sleep(0.05)
+                response = self.build_response()
+                if len(self.used) == 1:
+                    first_response = response
+                writer.write(response)
         writer.close()
 
     def build_response(self) -> bytes:
         """Return the response to the last call."""
-        lines = [b"HTTP/1.1 200 OK", b"Content-Length: 0"]
+        status = self.first_status if len(self.used) == 1 else 200
+        lines = [b"HTTP/1.1 %d X" % status, b"Content-Length: 0"]
         if self.paths[-1] == "/-/release":
             lines.append(b"X-Handover: token")
         if self.echoed and (echoed := self.echoed.pop(0)) is not None:
@@ -415,3 +425,16 @@
         assert fake.used[3] != fake.used[2]
 
     run_with_lease_target(scenario)
+
+
+# Guards against a lease that was given and counts as refused: its keys would be granted
+# elsewhere at once.
+def test_a_copy_of_a_refusal_is_not_taken_for_the_response_to_the_next_grant():
+    async def scenario(fake, lease_client, target):
+        fake.first_status = 409
+        refused = await lease_client.grant(target, Grant(ALL_KEYS, 1, 2.5), 1.0)
+        assert refused == Outranked()
+        granted = await lease_client.grant(target, Grant(ALL_KEYS, 2, 2.5), 1.0)
+        assert granted == Granted()
+
+    run_with_lease_target(scenario)
