Return no keys to a target that has just given them away

What callers saw: requests for a range waited for its move twice within a second; a range near the busy keys had three owners in 1.2 s right after the start.

Cause: load is estimated from about a second of requests, plans follow each other after 0.3 s, and the idlest target is often the one that has just given keys away, so plans follow noise back and forth.

Change: for 3 s keys return to a target that gave them away only if no other target can take them. A hot target then gives its keys to the next idlest.

The test failed before: the keys were back after 0.02 s (0.5 s asked).

--- a/packages/ownership/peridot_ownership/planner.py
+++ b/packages/ownership/peridot_ownership/planner.py
@@ -49,6 +49,14 @@
     reason: str
 
 
+@dataclass(frozen=True)
+class RecentOwner:
+    """Keys that a target has just given away."""
+
+    keys: KeyRange
+    target: str
+
+
 @dataclass(frozen=True)
 class PlanInput:
     """The input of a plan; capacities are requests per second by target."""
@@ -58,6 +66,15 @@
     capacities: Mapping[str, float]
     # Keys that are moving already.
     moving: Collection[KeyRange] = ()
+    # Keys don't return to these owners while another target can take them.
+    recent_owners: Collection[RecentOwner] = ()
+
+    def would_return(self, keys: KeyRange, target: str) -> bool:
+        """Return whether a target has just given some of the keys away."""
+        return any(
+            item.target == target and item.keys.overlaps(keys)
+            for item in self.recent_owners
+        )
 
 
 @dataclass(frozen=True)
@@ -141,7 +158,11 @@
         for keys in _split_by_load(plan.profile, item.keys, part_rate):
             rate = plan.profile.load(keys)
             target = min(
-                plan.capacities, key=lambda name: loads.utilisation(name, rate)
+                plan.capacities,
+                key=lambda name: (
+                    plan.would_return(keys, name),
+                    loads.utilisation(name, rate),
+                ),
             )
             loads.transfer(rate, None, target)
             moves.append(RangeMove(keys, item.owner, target, "owner_unusable"))
@@ -206,21 +227,33 @@
 def _best_move(
     plan: PlanInput, loads: _TargetLoads, owned: dict[str, list[KeyRange]]
 ) -> RangeMove | None:
-    idlest = min(loads.capacities, key=loads.utilisation)
+    by_utilisation = sorted(loads.capacities, key=loads.utilisation)
     mean = loads.mean()
-    idle = loads.utilisation(idlest) < mean * IDLE_FACTOR
-    for source in sorted(loads.capacities, key=loads.utilisation, reverse=True):
+    for source in reversed(by_utilisation):
         utilisation = loads.utilisation(source)
-        if utilisation <= mean or source == idlest:
-            return None
-        if not idle and utilisation <= max(mean * HOT_FACTOR, HOT_UTILISATION):
+        if utilisation <= mean:
             return None
-        keys = _best_range(plan, loads, owned, source, idlest)
+        destination = _idlest_other(plan, owned[source], by_utilisation)
+        idle = loads.utilisation(destination) < mean * IDLE_FACTOR
+        hot = utilisation > max(mean * HOT_FACTOR, HOT_UTILISATION)
+        if not (hot or idle) or loads.utilisation(destination) >= mean:
+            continue
+        keys = _best_range(plan, loads, owned, source, destination)
         if keys is not None:
-            return RangeMove(keys, source, idlest, "idle" if idle else "imbalance")
+            return RangeMove(keys, source, destination, "idle" if idle else "imbalance")
     return None
 
 
+def _idlest_other(
+    plan: PlanInput, ranges: list[KeyRange], by_utilisation: list[str]
+) -> str:
+    """Return the idlest target that some of the ranges wouldn't return to."""
+    for target in by_utilisation:
+        if not all(plan.would_return(keys, target) for keys in ranges):
+            return target
+    return by_utilisation[0]
+
+
 def _best_range(
     plan: PlanInput,
     loads: _TargetLoads,
@@ -244,6 +277,8 @@
     best: tuple[float, KeyRange] | None = None
     for keys in owned[source]:
         for candidate in _candidate_ranges(plan.profile, keys, desired_rate, dominant):
+            if plan.would_return(candidate, destination):
+                continue
             rate = plan.profile.load(candidate)
             if not min_rate <= rate <= MAX_TRANSFER_SHARE * desired_rate:
                 continue
@@ -313,8 +348,9 @@
     }
     for source in sorted(dominant_keys, key=rates.__getitem__, reverse=True):
         key = dominant_keys[source]
-        fastest = max(free, key=plan.capacities.__getitem__, default=source)
         keys = KeyRange(key, key + 1)
+        others = [name for name in free if not plan.would_return(keys, name)]
+        fastest = max(others, key=plan.capacities.__getitem__, default=source)
         alone = owned[source] == [keys]
         factor = FASTER_FACTOR_ALONE if alone else FASTER_FACTOR
         if plan.capacities[fastest] > factor * plan.capacities[source]:
--- a/packages/ownership/tests/test_placer.py
+++ b/packages/ownership/tests/test_placer.py
@@ -44,6 +44,7 @@
     bound_earlier_leases,
 )
 from peridot_ownership.view import FleetView
+from peridot_placement.clock import boot_time
 from peridot_placement.decisions import MemoryDecisionLog
 from peridot_resources.configuration import TargetInstance
 
@@ -845,3 +846,34 @@
         assert not harness.lease_client.violations
 
     run(check())
+
+
+# Guards against plans that follow noise in the load: keys went back to the target that
+# had just given them away, and requests for them waited twice.
+def test_balancing_returns_no_keys_to_a_target_that_has_just_given_them_away(
+    monkeypatch,
+):
+    monkeypatch.setattr(placer_module, "RETURN_DELAY_S", 0.5)
+
+    async def check():
+        harness = PlacerHarness("a b")
+        loads = harness.view.loads
+        async with harness.run_placer("vm1") as placer:
+            await wait_until(placer, lambda: harness.owners(placer) == {"a", "b"})
+            table = placer.record.tables[SERVICE]
+            owned = table.owned_by("a")[0].keys
+            spread = range(owned.start, owned.end, (owned.end - owned.start) // 50)
+            loads.add([(key, 1) for key in spread], boot_time())
+
+            def find_moved() -> list[int]:
+                return [key for key in spread if table.find(key).owner == "b"]
+
+            await wait_until(placer, find_moved)
+            moved_at, moved = boot_time(), find_moved()
+            loads.weights.clear()
+            loads.add([(key, 50 // len(moved)) for key in moved], boot_time())
+            await wait_until(placer, lambda: len(find_moved()) < len(moved))
+            assert boot_time() - moved_at >= 0.5
+        assert not harness.lease_client.violations
+
+    run(check())
--- a/packages/ownership/tests/test_planner.py
+++ b/packages/ownership/tests/test_planner.py
@@ -5,7 +5,7 @@
 import pytest
 
 from peridot_ownership.loads import KeyLoads, LoadProfile
-from peridot_ownership.planner import PlanInput, plan_moves
+from peridot_ownership.planner import PlanInput, RecentOwner, plan_moves
 from peridot_ownership.ranges import ALL_KEYS, KEY_SPACE, KeyRange, RangeTable
 
 TARGETS = 14
@@ -175,3 +175,31 @@
     # A single key can exceed its target's capacity; the last peak is what remains.
     settled = next(i for i, peak in enumerate(peaks) if peak <= 1.1 * peaks[-1])
     assert settled < 8
+
+
+# Guards against a hot target that keeps all its keys because the idlest target has just
+# given them away: another target takes them.
+def test_keys_go_to_another_target_than_the_one_that_has_just_given_them_away():
+    table = RangeTable()
+    for start, owner in ((0, "hot"), (10_000, "recent"), (20_000, "other")):
+        table.assign(KeyRange(start, start + 10_000), owner, 1)
+    table.assign(KeyRange(30_000, KEY_SPACE), "other", 1)
+    rates = {key: 0.5 for key in range(100, 10_000, 250)}
+    profile = make_profile(rates | {10_500: 0.5, 20_500: 1.0})
+    capacities = dict.fromkeys(("hot", "recent", "other"), 20.0)
+    given_away = (RecentOwner(KeyRange(0, 10_000), "recent"),)
+    plan = PlanInput(table, profile, capacities, recent_owners=given_away)
+    moves = [move for move in plan_moves(plan) if move.source == "hot"]
+    assert {move.destination for move in moves} == {"other"}
+
+
+# Guards against keys without an owner that wait for a target other than the last one.
+def test_unowned_keys_return_to_a_recent_owner_if_no_other_target_is_left():
+    profile = make_profile({100: 1.0})
+    given_away = (RecentOwner(ALL_KEYS, "a"),)
+    for capacities, destinations in (
+        ({"a": 20.0}, {"a"}),
+        ({"a": 20.0, "b": 1.0}, {"b"}),
+    ):
+        plan = PlanInput(RangeTable(), profile, capacities, recent_owners=given_away)
+        assert {move.destination for move in plan_moves(plan)} == destinations
