Let the test of a reissued revision reach that revision

Cause: the loop that writes until the second placer's revision equals the first one's compared a version with its era, so that it never ran; and the first placer was back before it. The test passed without the rule that it is for.

Change: the first placer is cut off until the second has written its record at the first one's revision; versions are compared without their era, and the test asserts that they are equal.

--- a/packages/ownership/tests/test_placer.py
+++ b/packages/ownership/tests/test_placer.py
@@ -14,6 +14,7 @@
 from peridot_fakes.holders import MemoryLeaseClient
 from peridot_objects.objects import MemoryObjectStore
 from peridot_objects.outcomes import Conflict, StoreUnavailable
+from peridot_objects.versions import version_revision
 from peridot_ownership import (
     granter as granter_module,
     placer as placer_module,
@@ -624,15 +625,19 @@
         async with harness.run_placer("vm1") as first:
             await wait_until(first, lambda: harness.owners(first) == {"a"})
             copy = harness.store.take_copy()
-            await harness.store.set_outage(True)
+            await first.record_writer.write()
+            store = first.record_writer.store = CutStore(harness.store)
+            store.cut = True
             await wait_until(first, lambda: first.record_writer.store_lost)
             await harness.store.restore(copy)
-            await harness.store.set_outage(False)
             found = await harness.store.read(RECORD_KIND, RECORD_NAME)
             holder = DaemonInstance("vm2", "vm2-1", "127.0.0.1:1")
             second = await acquire_term(harness.store, holder, found, harness.log)
-            while second.version < first.record_writer.version % (1 << 40):
+            revision = version_revision(first.record_writer.version)
+            while version_revision(second.version) < revision:
                 await second._write_once()
+            assert version_revision(second.version) == revision
+            store.cut = False
             await wait_until(first, first.record_writer.ended.done)
             found = await harness.store.read(RECORD_KIND, RECORD_NAME)
             assert parse_record(found.value).holder == holder
