Share the parts of the placer's model in virtual time

Change: the clocks, the way to targets that can be cut off and a site for several placers are in peridot_fakes.placers; the model of ownership uses the first two from there, unchanged.

--- a/packages/ownership/tests/test_ownership_model.py
+++ b/packages/ownership/tests/test_ownership_model.py
@@ -9,26 +9,21 @@
 import asyncio
 import random
 from collections import deque
-from contextlib import AsyncExitStack, contextmanager
+from contextlib import AsyncExitStack
 from dataclasses import replace
-from unittest.mock import patch
 
 from hypothesis import example, given, settings, strategies as st
 
 from peridot_fakes.cutstore import CutStore
 from peridot_fakes.holders import MemoryLeaseClient
+from peridot_fakes.placers import CutLeaseClient, virtual_clocks
 from peridot_fakes.virtualtime import run_virtual, virtual_time
 from peridot_objects.objects import MemoryObjectStore, StoreCopy
-from peridot_ownership import (
-    granter as granter_module,
-    placer as placer_module,
-    recorder as recorder_module,
-)
+from peridot_ownership import recorder as recorder_module
 from peridot_ownership.errors import TermLost
-from peridot_ownership.holds import Grant, TargetLeaseClient, Unreached
 from peridot_ownership.loads import KeyLoads
 from peridot_ownership.placer import Placer
-from peridot_ownership.ranges import KEY_SPACE, KeyRange
+from peridot_ownership.ranges import KEY_SPACE
 from peridot_ownership.record import (
     RECORD_KIND,
     RECORD_NAME,
@@ -62,26 +57,6 @@
 COPIES = 4
 
 
-class ReachableLeaseClient(TargetLeaseClient):
-    """Shared targets, from some of which one placer can be cut off."""
-
-    def __init__(self, inner: MemoryLeaseClient) -> None:
-        self.inner = inner
-        self.cut: set[str] = set()
-
-    async def grant(self, target, grant: Grant, timeout_s):
-        if target.name in self.cut:
-            await asyncio.sleep(timeout_s)
-            return Unreached("cut off")
-        return await self.inner.grant(target, grant, timeout_s)
-
-    async def release(self, target, keys: KeyRange, fence, timeout_s):
-        if target.name in self.cut:
-            await asyncio.sleep(timeout_s)
-            return Unreached("cut off")
-        return await self.inner.release(target, keys, fence, timeout_s)
-
-
 class ShiftingLoadView(FleetView):
     """A view of targets whose hot keys change at random."""
 
@@ -127,9 +102,7 @@
         self.lease_client = MemoryLeaseClient(virtual_time)
         self.view = ShiftingLoadView(self.rng)
         self.log = MemoryDecisionLog()
-        self.placers: list[
-            tuple[Placer, CutStore, ReachableLeaseClient, AsyncExitStack]
-        ] = []
+        self.placers: list[tuple[Placer, CutStore, CutLeaseClient, AsyncExitStack]] = []
         self.number = 0
         # The term of the last placer that resigned, and the leases that it reported.
         self.reported: tuple[int, EarlierLeases] | None = None
@@ -192,7 +165,7 @@
         self.number += 1
         store, lease_client = (
             CutStore(self.store, STORE_DELAY_S),
-            ReachableLeaseClient(self.lease_client),
+            CutLeaseClient(self.lease_client),
         )
         found = await store.read(RECORD_KIND, RECORD_NAME)
         holder = DaemonInstance("vm", f"vm-{self.number}", "127.0.0.1:1")
@@ -325,16 +298,6 @@
             self.view.targets[name] = replace(self.view.targets[name], leaving=False)
 
 
-@contextmanager
-def virtual_clocks():
-    with (
-        patch.object(placer_module, "boot_time", virtual_time),
-        patch.object(granter_module, "boot_time", virtual_time),
-        patch.object(recorder_module, "boot_time", virtual_time),
-    ):
-        yield
-
-
 def simulate(seed: int) -> Simulation:
     simulation = Simulation(seed)
     with virtual_clocks():
