Show that two placers may go on under one term's number after a restore

It can be played without chance: a placer that has noticed the restore continues under the era's first term; the other's conditional write passes at an equal revision, it reads its own record, and so takes the same number.

No code was changed. The first placer's term ends at its next write; until then both grant with equal fencing tokens.

--- a/packages/ownership/tests/test_restores.py
+++ b/packages/ownership/tests/test_restores.py
@@ -120,6 +120,28 @@
     run(check())
 
 
+# Rule: no number of a term is issued twice. The write of a placer that hasn't noticed a
+# restore may replace the record of one that has, at an equal revision; then the term of
+# the other can't be read any more.
+def test_a_write_that_passes_by_accident_does_not_lead_to_the_term_of_another_placer():
+    async def check():
+        store = MemoryObjectStore()
+        first = await acquire(store, "vm1")
+        copy = store.take_copy()
+        second = await acquire(store, "vm2")
+        await second._write_once()
+        await store.restore(copy)
+        await first._write_once()
+        assert first.record.term > TERMS_PER_ERA
+        assert version_revision(first.version) == version_revision(second.version)
+        await second._write_once()
+        with pytest.raises(TermLost):
+            await first._write_once()
+        assert second.ended.done() or second.record.term > first.record.term
+
+    run(check())
+
+
 async def move_keys_by_a_term_that_is_lost(first_away_s: float) -> bool:
     """Cut a placer off; move its keys in the next term; restore the store without it.
 
