Move the check of idle connections below the gateway

The store's clients and peridotd's clients of targets need it too, and the gateway's packages can't be imported there.

--- a/packages/gateway/peridot_gateway/sockets.py
+++ b/packages/gateway/peridot_gateway/sockets.py
@@ -1,18 +1,16 @@
 """Connections that are reset on close and that bound the size of responses."""
 
-import asyncio
-import select
 import socket
 import struct
 from collections.abc import Iterator
 from contextlib import contextmanager
 from contextvars import ContextVar
 from dataclasses import dataclass
-from functools import partial
 from time import monotonic
 
-from aiohttp import AddrInfoType, ClientPayloadError, ClientResponse, TCPConnector
-from aiohttp.client_proto import ResponseHandler
+from aiohttp import AddrInfoType, ClientPayloadError, ClientResponse
+
+from peridot_objects.connections import QuietConnector, QuietResponseHandler
 
 # Closing resets the connection (SO_LINGER with a timeout of 0): a request that is still
 # in the socket buffer during a partition must not arrive after its sender gave it up.
@@ -26,22 +24,19 @@
 MAX_RECEIVED_BYTES = 5 * 2**20
 
 
-class BoundedResponseHandler(ResponseHandler):
-    """Close a connection with bytes that belong to no request, or with too many.
+class BoundedResponseHandler(QuietResponseHandler):
+    """Close the connection when a response has too many bytes of any kind.
 
-    aiohttp limits header lines, but not interim responses or chunk extensions. It would
-    take a response that arrived on an idle connection for that to the next request.
+    aiohttp limits header lines, but not interim responses or chunk extensions.
     """
 
     received_bytes = 0
     has_head = False
-    is_idle = False
 
     def set_response_params(self, **params) -> None:
         """Reset the count for the next response."""
         self.received_bytes = 0
         self.has_head = False
-        self.is_idle = False
         super().set_response_params(**params)
 
     def feed_data(self, item, size: int = 0) -> None:
@@ -51,11 +46,7 @@
         super().feed_data(item, size)
 
     def data_received(self, data: bytes) -> None:
-        """Close an idle connection; otherwise count the bytes and limit them."""
-        # aiohttp also calls this without data, when it resumes reading.
-        if self.is_idle and data:
-            self.close()
-            return
+        """Count received bytes and abort the connection if there are too many."""
         super().data_received(data)
         self.received_bytes += len(data)
         if self.received_bytes > (
@@ -63,15 +54,6 @@
         ):
             self._abort_connection()
 
-    def can_be_reused(self) -> bool:
-        """Return whether the connection is open and nothing has arrived on it."""
-        if not self.is_connected() or self.should_close:
-            return False
-        # The event loop may not have read yet what has arrived.
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not poll.poll(0)
-
     def _abort_connection(self) -> None:
         error = ClientPayloadError("the response has too many bytes")
         if self._payload is not None:
@@ -139,32 +121,21 @@
         connection_use.reset(token)
 
 
-class IdleLimitConnector(TCPConnector):
-    """A connector with a limit of the idle time for each request.
+class IdleLimitConnector(QuietConnector):
+    """A connector with a limit of the idle time for each request."""
 
-    Connections on which bytes arrived while they were idle are not used again.
-    """
+    handler_class = BoundedResponseHandler
 
-    async def _get(self, key, traces):
-        # aiohttp has one limit for all requests of a connector, and takes the
-        # connection first that has been idle for the longest time.
+    def may_reuse(self, released_at: float) -> bool:
+        # aiohttp has one limit for all requests of a connector.
         use = connection_use.get()
-        connections = self._conns.get(key)
-        while connections and not connections[-1][0].can_be_reused():
-            protocol, _ = connections.pop()
-            protocol.close()
-        if connections:
-            idle_s = monotonic() - connections[-1][1]
-            if use is not None:
-                if idle_s > use.max_idle_s:
-                    return None
-                use.idle_s = idle_s
-            connections.rotate(1)
-        return await super()._get(key, traces)
-
-    def _release(self, key, protocol, *, should_close=False):
-        super()._release(key, protocol, should_close=should_close)
-        protocol.is_idle = True
+        if use is None:
+            return True
+        idle_s = monotonic() - released_at
+        if idle_s > use.max_idle_s:
+            return False
+        use.idle_s = idle_s
+        return True
 
     async def connect(self, req, traces, timeout):
         """Return a connection, and note that the request has got one."""
@@ -184,8 +155,4 @@
 
 def open_connector(**options) -> IdleLimitConnector:
     """Return a connector without a connection limit, with reset on close."""
-    connector = IdleLimitConnector(limit=0, socket_factory=open_socket, **options)
-    # aiohttp has no public option to limit a response while it arrives.
-    loop = asyncio.get_running_loop()
-    connector._factory = partial(BoundedResponseHandler, loop=loop)
-    return connector
+    return IdleLimitConnector(limit=0, socket_factory=open_socket, **options)
