Give the store's clients and peridotd's the same check of idle connections

Callers saw: a late copy of a response on an idle connection was taken for the response to the next call. A write then counted as done that the store had not received, a grant of peridotd as accepted, and a repeatable request was answered with the answer to the one before.

Cause: these clients used aiohttp's own connector.

Change: they use QuietConnector. Requests of peridotd that may run once have new connections, as before.

--- a/packages/ctl/peridot_ctl/main.py
+++ b/packages/ctl/peridot_ctl/main.py
@@ -19,6 +19,7 @@
     format_objects,
     format_status,
 )
+from peridot_objects.connections import open_session
 from peridot_objects.http_objects import HttpObjectStore
 from peridot_objects.objects import ObjectStore
 from peridot_objects.outcomes import StoreUnavailable
@@ -121,7 +122,7 @@
     command: Callable[[CommandContext, list[str]], Awaitable[int]], arguments: list[str]
 ) -> int:
     """Run a command with a store and a session; return its exit code."""
-    async with ClientSession() as session:
+    async with open_session() as session:
         store = HttpObjectStore(session, flags.FLAGS.object_api)
         return await command(CommandContext(store, session), arguments)
 
--- a/packages/daemon/peridot_daemon/daemon.py
+++ b/packages/daemon/peridot_daemon/daemon.py
@@ -7,7 +7,7 @@
 from time import monotonic
 from uuid import uuid4
 
-from aiohttp import ClientSession, DummyCookieJar, TCPConnector
+from aiohttp import ClientSession
 from aiomisc import Service
 from prometheus_client.core import CounterMetricFamily, Metric
 
@@ -23,6 +23,7 @@
 from peridot_daemon.status import StatusWriter
 from peridot_daemon.tls import PeerTls
 from peridot_daemon.topology import ReplicaTopology
+from peridot_objects.connections import open_session
 from peridot_objects.http_objects import HttpObjectStore
 from peridot_objects.vms import HttpVmList
 from peridot_placement.clock import boot_time
@@ -61,9 +62,7 @@
         self.stack = AsyncExitStack()
         self.tasks: list[asyncio.Task] = []
         tls = PeerTls(settings, log)
-        session = await self.stack.enter_async_context(
-            ClientSession(connector=TCPConnector(limit=0), cookie_jar=DummyCookieJar())
-        )
+        session = await self.stack.enter_async_context(open_session())
         store = HttpObjectStore(session, settings.object_api)
         self.replica = Replica(log)
         self.tables = LocalTables()
--- a/packages/fakes/tests/test_adapter.py
+++ b/packages/fakes/tests/test_adapter.py
@@ -438,3 +438,40 @@
         assert granted == Granted()
 
     run_with_lease_target(scenario)
+
+
+# Guards against a write that counts as done though the store hasn't received it.
+@pytest.mark.parametrize("is_read", [True, False])
+def test_a_copy_of_a_store_response_is_not_taken_for_that_to_the_next_write(is_read):
+    writers = []
+    calls = 0
+
+    def send_response() -> None:
+        body = b'{"metadata":{"name":"a","revision":%d}}' % calls
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+        writers[-1].write(head + body)
+
+    async def serve(reader, writer):
+        nonlocal calls
+        writers.append(writer)
+        with suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                await reader.readexactly(int(read_header(head, "Content-Length")))
+                calls += 1
+                send_response()
+        writer.close()
+
+    async def run():
+        (port,) = free_ports(1)
+        store = PlatformObjectStore(f"127.0.0.1:{port}")
+        async with await asyncio.start_server(serve, "127.0.0.1", port):
+            assert await store.write("kind", "a", b"{}", None) == Written(1)
+            send_response()
+            if is_read:
+                await asyncio.sleep(0.05)
+            assert await store.write("kind", "a", b"{}", None) == Written(2)
+            await store.close()
+        assert (calls, len(writers)) == (2, 2)
+
+    asyncio.run(run())
--- a/packages/routing/peridot_routing/attempts.py
+++ b/packages/routing/peridot_routing/attempts.py
@@ -19,6 +19,7 @@
 )
 from yarl import URL
 
+from peridot_objects.connections import QuietConnector
 from peridot_resources.catalog import Target
 from peridot_routing.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from peridot_routing.requests import RoutedRequest, end_to_end_headers
@@ -113,7 +114,7 @@
 async def open_sessions(connections: int) -> AsyncIterator[TargetSessions]:
     """Open sessions with one target, which share out a number of connections."""
     unpooled_limit = max(1, connections // 4)
-    pooled = TCPConnector(limit=max(1, connections - unpooled_limit))
+    pooled = QuietConnector(limit=max(1, connections - unpooled_limit))
     unpooled = TCPConnector(limit=unpooled_limit, force_close=True)
     async with _open_session(pooled) as first, _open_session(unpooled) as second:
         yield TargetSessions(first, second)
--- a/packages/routing/tests/test_attempts.py
+++ b/packages/routing/tests/test_attempts.py
@@ -1,7 +1,7 @@
 """Test single attempts against targets that answer, fail, stall or refuse."""
 
 import asyncio
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import replace
 
 import pytest
@@ -72,6 +72,36 @@
     return replace(make_request(1), method="POST", idempotent=False, **changes)
 
 
+class CopyingTarget(RawTarget):
+    """A target that numbers its answers and sends a copy of each a moment later."""
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        with suppress(ConnectionError):
+            while await reader.read(65536):
+                answer = COMPLETE.replace(b"ok", b"%02d" % self.connections)
+                writer.write(answer)
+                await asyncio.sleep(0.01)
+                writer.write(answer)
+        writer.close()
+
+
+# Guards against a late copy of an answer being taken for that to the next request.
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_a_late_copy_of_an_answer_reaches_nobody(idempotent):
+    async def session():
+        async with serving(CopyingTarget(COMPLETE)) as (sessions, target):
+            request = make_request(1) if idempotent else make_non_idempotent_request()
+            bodies = []
+            for _ in range(3):
+                outcome = await sessions.attempt(target, request, "1.1", lambda: None)
+                bodies.append(outcome.body)
+                await asyncio.sleep(0.03)
+            return bodies
+
+    assert asyncio.run(session()) == [b"01", b"02", b"03"]
+
+
 def test_complete_response_is_answered():
     outcome = attempt(RawTarget(COMPLETE))
     assert outcome == Answered(200, (("X", "y"),), b"ok", "t")
