--- a/packages/fakes/tests/test_adapter.py
+++ b/packages/fakes/tests/test_adapter.py
@@ -475,3 +475,44 @@
         assert (calls, len(writers)) == (2, 2)
 
     asyncio.run(run())
+
+
+# Guards against a copy that comes after the next call was sent: the object tells it.
+@pytest.mark.parametrize(
+    ("call", "outcome"), [("read", StoreUnavailable), ("write", WriteUnknown)]
+)
+@pytest.mark.parametrize("metadata", [{"name": "b", "revision": 9}, {"revision": 3}])
+def test_a_store_response_about_another_object_is_no_answer(call, outcome, metadata):
+    connections = 0
+
+    async def serve(reader, writer):
+        nonlocal connections
+        connections += 1
+        body = orjson.dumps({"metadata": {"name": "a"} | metadata, "spec": {}})
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+        with suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                request = await reader.readuntil(b"\r\n\r\n")
+                length = int(read_header(request, "Content-Length") or 0)
+                await reader.readexactly(length)
+                writer.write(head + body)
+        writer.close()
+
+    async def run():
+        (port,) = free_ports(1)
+        store = PlatformObjectStore(f"127.0.0.1:{port}")
+        async with await asyncio.start_server(serve, "127.0.0.1", port):
+            for _ in range(2):
+                if call == "write":
+                    found = await store.write("kind", "a", b"{}", 5)
+                else:
+                    found = await store.read("kind", "a")
+                # A read doesn't know which revision the object has.
+                if call == "write" or "name" in metadata:
+                    assert isinstance(found, outcome)
+                    assert store.pool is None
+                else:
+                    assert isinstance(found, StoredObject)
+            await store.close()
+
+    asyncio.run(run())
