Send a request once an attempt in peridotd, whatever its method

Callers saw: a request that the service doesn't declare as idempotent could run twice at its target if the connection broke before the response, outside the retry budget and uncounted. As the second sending comes when the break is noticed, the key may have moved away and back since the first.

Cause: aiohttp sends a request again on ClientOSError and ServerDisconnectedError if its method is idempotent by the standard, also on connections that were never reused. peridotd's sessions left that on; the gateway's have it off.

Fix: switch it off for the sessions with targets. The router alone decides on retries, by the service's declaration.

Test failed before, 4 of 4 cases: 'assert 2 == 1', the target received the Request-Id twice. Run after: routing's tests passed in one of two runs; in the other, at a load of about 11, test_hot_key_leaves_slots_to_other_keys (steps of 2 ms) failed. It passed in three runs alone.

--- a/packages/routing/peridot_routing/attempts.py
+++ b/packages/routing/peridot_routing/attempts.py
@@ -121,13 +121,18 @@
 
 
 def _open_session(connector: TCPConnector) -> ClientSession:
-    return ClientSession(
+    session = ClientSession(
         connector=connector,
         cookie_jar=DummyCookieJar(),
         request_class=GuardedRequest,
         skip_auto_headers=AIOHTTP_AUTO_HEADERS,
         auto_decompress=False,
     )
+    # Otherwise aiohttp sends a request again if its connection breaks and its method is
+    # idempotent by the standard, whatever the service declares and whoever owned the
+    # key meanwhile. It has no public option for this.
+    session._retry_connection = False
+    return session
 
 
 def _build_headers(
--- a/packages/routing/tests/test_attempts.py
+++ b/packages/routing/tests/test_attempts.py
@@ -187,6 +187,20 @@
     assert raw.connections == 1
 
 
+# Guards against a request that runs twice in one attempt: the HTTP client sends those
+# whose method is idempotent by the standard again if the connection breaks, whatever
+# the service declares, and after a time in which the key may have changed its owner.
+@pytest.mark.parametrize("idempotent", [True, False])
+@pytest.mark.parametrize("method", ["GET", "PUT"])
+def test_attempt_sends_a_request_once_if_the_connection_breaks(method, idempotent):
+    raw = RawTarget(b"", close=True)
+    request = replace(make_request(1), method=method, idempotent=idempotent)
+    outcome = attempt(raw, request)
+    assert type(outcome) is Unknown
+    assert outcome.reason is Reason.CONNECTION_LOST
+    assert raw.received.count(b"Request-Id: r") == 1
+
+
 def test_router_adds_its_headers_once():
     raw = RawTarget(COMPLETE)
     attempt(raw)
