Keep the outcome unknown if a retry is refused in peridotd

Callers saw: `not-run` of an idempotent request whose first attempt may have run, if the retry met an overloaded or moving owner. "Not run" says that no part of it reached an application.

Cause: the router returned the outcome of the last attempt only.

Fix: the last unknown outcome is kept and returned unless a retry is answered.

Test failed before: NotRun(reason=overloaded) == Unknown(reason=torn_answer). Run after: tests of routing and daemon pass (87).

--- a/packages/routing/peridot_routing/router.py
+++ b/packages/routing/peridot_routing/router.py
@@ -145,15 +145,19 @@
         budget.record_request()
         started_at = monotonic()
         last: Outcome | None = None
+        # A retry that is refused doesn't undo an earlier attempt that may have run.
+        possible: Unknown | None = None
         while True:
             refusal = check_deadline(request)
             if refusal is not None:
-                return last or refusal
+                return possible or last or refusal
             last = await self._attempt_once(request)
             if isinstance(last, Answered):
                 return last
+            if isinstance(last, Unknown):
+                possible = last
             if not self._may_retry(request, last, budget, started_at):
-                return last
+                return possible or last
             self.retries += 1
             await self._wait_before_retry(request, last)
 
--- a/packages/routing/tests/test_router.py
+++ b/packages/routing/tests/test_router.py
@@ -118,6 +118,14 @@
     assert 1 < len(router.forwarder.calls) <= 4
 
 
+# Guards against callers that are told "not run" of a request that may have run: only
+# its last attempt was refused.
+def test_refused_retry_leaves_the_outcome_of_a_request_that_may_have_run_unknown():
+    outcome, router = handle([Unknown(Reason.TORN_ANSWER), NotRun(Reason.OVERLOADED)])
+    assert len(router.forwarder.calls) == 2
+    assert outcome == Unknown(Reason.TORN_ANSWER)
+
+
 def test_service_not_divided_by_key_avoids_the_target_that_refused():
     outcome, router = handle([NotRun(Reason.CONNECTION_REFUSED), ANSWER], divided=False)
     assert outcome == ANSWER
