Don't repeat a request at an owner that lost its key and got it back

Callers saw: an idempotent request whose first attempt at a target may have run was sent to the same target again after its slice had moved to another target and back, under the later ownership. Both runs seen as one time of work span the other owner's. The same by a copy that waited for a slot at a front whose link had broken, while the next front sent the retry.

Cause: the front's check before the first byte knew only the present owner, not since when it owns the key, nor what the request had met before.

The entry VM notes for each unknown outcome the target, if the front named it, and the epoch of the assignment before the attempt; the front gets these with the request (`possible_runs`) and refuses a target that may have run it in an earlier period of its ownership. The caller then gets the unknown outcome. Requests that waited while their key left and returned are refused too and routed anew. Retries at an owner that kept its key, also through a cancelled move, and at a next owner go on as before.

--- a/packages/daemon/peridot_daemon/messages.py
+++ b/packages/daemon/peridot_daemon/messages.py
@@ -9,7 +9,7 @@
 from peridot_resources.catalog import Catalog
 from peridot_routing.matching import is_idempotent
 from peridot_routing.outcomes import Answered, NotRun, Outcome, Reason, Unknown
-from peridot_routing.requests import RoutedRequest
+from peridot_routing.requests import PossibleRun, RoutedRequest
 from peridot_wire import peridot_pb2 as pb
 
 # HTTP statuses that a response may have.
@@ -37,6 +37,9 @@
         request_id=request.request_id,
         priority=request.priority,
     )
+    for run in request.possible_runs:
+        term, sequence = run.epoch
+        message.possible_runs.add(target=run.target, term=term, sequence=sequence)
     _add_headers(message, request.headers)
     return message
 
@@ -61,6 +64,10 @@
         idempotent=is_idempotent(service, message.method, message.path),
         priority=message.priority,
         deadline=monotonic() + message.deadline_ms / 1000,
+        possible_runs=[
+            PossibleRun(run.target, (run.term, run.sequence))
+            for run in message.possible_runs
+        ],
     )
 
 
@@ -99,6 +106,7 @@
         id=call_id,
         outcome=pb.UNKNOWN,
         reason=f"{outcome.reason} {outcome.detail}",
+        target=outcome.target,
     )
 
 
@@ -116,7 +124,7 @@
     if reply.outcome == pb.NOT_RUN:
         return NotRun(reason, reply.retry_after_ms, detail)
     if reply.outcome == pb.UNKNOWN:
-        return Unknown(reason, detail)
+        return Unknown(reason, detail, reply.target)
     raise InvalidMessage(f"unknown outcome {reply.outcome}")
 
 
--- a/packages/daemon/tests/test_messages.py
+++ b/packages/daemon/tests/test_messages.py
@@ -15,6 +15,7 @@
 )
 from peridot_resources.catalog import Catalog, RoutingPolicy, Service
 from peridot_routing.outcomes import Answered, NotRun, Reason, Unknown
+from peridot_routing.requests import PossibleRun
 from peridot_wire import peridot_pb2 as pb
 
 POLICY = RoutingPolicy(
@@ -32,7 +33,7 @@
         st.text(max_size=9),
     ),
     st.builds(NotRun, st.sampled_from(Reason), st.integers(0, 9999), st.text()),
-    st.builds(Unknown, st.sampled_from(Reason), st.text()),
+    st.builds(Unknown, st.sampled_from(Reason), st.text(), st.text(max_size=9)),
 )
 
 
@@ -65,7 +66,9 @@
     request = parse_request(message, CATALOG)
     assert not request.idempotent
     assert 0.4 < request.deadline - monotonic() <= 0.5
+    request.possible_runs.append(PossibleRun("t", (2, 3)))
     parsed = parse_request(serialize_request(4, request, "t"), CATALOG)
+    assert parsed.possible_runs == request.possible_runs
     assert (parsed.method, parsed.path, parsed.key_hash) == (
         request.method,
         request.path,
--- a/packages/routing/peridot_routing/fronts.py
+++ b/packages/routing/peridot_routing/fronts.py
@@ -92,6 +92,7 @@
 
     async def dispatch(self, request: RoutedRequest, target_name: str) -> Outcome:
         """Wait for a slot of a target, send the request and return the outcome."""
+        received_epoch = self.tables.assignment_epoch(request.service.name)
         channel = await self._get_channel(target_name, request.policy)
         if channel is None:
             return NotRun(Reason.NO_TARGET, detail="no such target")
@@ -100,7 +101,7 @@
         async with channel.queue.slot(request) as refusal:
             if refusal is not None:
                 return refusal
-            return await self._send(channel, request)
+            return await self._send(channel, request, received_epoch)
 
     def set_lost(self, target_name: str, lost: bool) -> None:
         """Stop or resume sending to a target."""
@@ -164,7 +165,12 @@
         self.closing_tasks.add(task)
         task.add_done_callback(self.closing_tasks.discard)
 
-    async def _send(self, channel: TargetChannel, request: RoutedRequest) -> Outcome:
+    async def _send(
+        self,
+        channel: TargetChannel,
+        request: RoutedRequest,
+        received_epoch: tuple[int, int],
+    ) -> Outcome:
         if channel.target.name in self.lost:
             return NotRun(Reason.TARGET_LOST)
         if not request.service.divided_by_key:
@@ -172,7 +178,7 @@
         name = channel.target.name
 
         def check_ownership() -> NotRun | None:
-            return self._check_ownership(request, name)
+            return self._check_ownership(request, name, received_epoch)
 
         refusal = check_ownership()
         if refusal is not None:
@@ -183,8 +189,15 @@
             outcome = await self._attempt(channel, request, check_ownership, attempt)
         return outcome
 
-    def _check_ownership(self, request: RoutedRequest, target: str) -> NotRun | None:
-        """Return a refusal unless the permit is valid and the target owns the key."""
+    def _check_ownership(
+        self, request: RoutedRequest, target: str, received_epoch: tuple[int, int]
+    ) -> NotRun | None:
+        """Return a refusal unless the permit is valid and the target owns the key.
+
+        It must have owned the key since the request was received, and since any run
+        that the request may have had there: a repeated run in a later period of its
+        ownership would span the work of the owners between.
+        """
         if not self.tables.permit.is_valid():
             return NotRun(Reason.NO_PERMIT)
         owner = self.tables.settled_owner(request.service.name, request.key_hash)
@@ -192,6 +205,12 @@
             return NotRun(Reason.SLICE_MOVING)
         if owner != target:
             return NotRun(Reason.NOT_OWNER)
+        since = self.tables.owned_since(request.service.name, request.key_hash)
+        if received_epoch < since:
+            return NotRun(Reason.NOT_OWNER, detail="its owner returned meanwhile")
+        for run in request.possible_runs:
+            if run.epoch < since and run.target in ("", target):
+                return NotRun(Reason.OWNER_RETURNED)
         return None
 
     async def _attempt(
@@ -227,6 +246,8 @@
             channel.answers += 1
         elif isinstance(outcome, NotRun):
             outcome = replace(outcome, detail=outcome.detail or channel.target.name)
+        else:
+            outcome = replace(outcome, target=channel.target.name)
         return outcome
 
     def _keep_in_flight(
--- a/packages/routing/peridot_routing/outcomes.py
+++ b/packages/routing/peridot_routing/outcomes.py
@@ -21,6 +21,7 @@
     NOT_READY = "not_ready"
     NOT_OWNER = "not_owner"
     OVERLOADED = "overloaded"
+    OWNER_RETURNED = "owner_returned"
     SHED = "shed"
     SLICE_MOVING = "slice_moving"
     STOPPING = "stopping"
@@ -52,10 +53,11 @@
 
 @dataclass(frozen=True)
 class Unknown:
-    """The request may or may not have run."""
+    """The request may or may not have run, at the target if one is given."""
 
     reason: Reason
     detail: str = ""
+    target: str = ""
 
 
 Outcome = Answered | NotRun | Unknown
--- a/packages/routing/peridot_routing/requests.py
+++ b/packages/routing/peridot_routing/requests.py
@@ -28,6 +28,17 @@
 )
 
 
+@dataclass(frozen=True)
+class PossibleRun:
+    """A target that may have run a request, any if empty.
+
+    It owned the key at the epoch or later.
+    """
+
+    target: str
+    epoch: tuple[int, int]
+
+
 @dataclass
 class RoutedRequest:
     """A request with its service, policy, key and deadline."""
@@ -47,6 +58,7 @@
     deadline: float
     attempts: int = 0
     excluded_targets: set[str] = field(default_factory=set)
+    possible_runs: list[PossibleRun] = field(default_factory=list)
 
     def remaining_s(self) -> float:
         """Return the time until the deadline."""
--- a/packages/routing/peridot_routing/router.py
+++ b/packages/routing/peridot_routing/router.py
@@ -20,7 +20,7 @@
 from peridot_routing.fronts import TargetDispatcher
 from peridot_routing.outages import OwnerWaitMeter
 from peridot_routing.outcomes import Answered, NotRun, Outcome, Reason, Unknown
-from peridot_routing.requests import RoutedRequest, check_deadline
+from peridot_routing.requests import PossibleRun, RoutedRequest, check_deadline
 
 # A VM whose link failed is avoided for this long.
 AVOID_VM_S = 1.0
@@ -188,10 +188,13 @@
             self._log_attempt(request, None, route)
             return route
         self.attempts += 1
+        epoch = self._assignment_epoch(request)
         with self.costs.measure_attempt(route.target):
             outcome = await self._send(route, request)
         if not isinstance(outcome, Answered):
             self._record_failure(request, route, outcome)
+        if isinstance(outcome, Unknown) and request.service.divided_by_key:
+            request.possible_runs.append(PossibleRun(outcome.target, epoch))
         self._log_attempt(request, route, outcome)
         return outcome
 
@@ -216,6 +219,16 @@
         # Without a known owner, a front in the home data centre chooses the target.
         return self._route_to(owner or "", home, request)
 
+    def _assignment_epoch(self, request: RoutedRequest) -> tuple[int, int]:
+        """Return the epoch of the assignment that an owner is chosen by."""
+        service = request.service.name
+        homes = self.topology.home_table(service)
+        home = homes.find(request.key_hash) if homes else self.topology.data_centre
+        if home == self.topology.data_centre:
+            return self.tables.assignment_epoch(service)
+        assignment = self.topology.remote_assignment(service, home)
+        return assignment.epoch if assignment else (0, 0)
+
     def _choose_by_cost(self, request: RoutedRequest) -> Route | NotRun:
         """Choose the cheaper of two random targets, in this data centre if possible."""
         service = request.service.name
--- a/packages/routing/tests/test_attempts.py
+++ b/packages/routing/tests/test_attempts.py
@@ -25,10 +25,11 @@
 class RawTarget:
     """A TCP server that answers with fixed bytes and records what it received."""
 
-    def __init__(self, response, close=False, delay_s=0.0):
+    def __init__(self, response, close=False, delay_s=0.0, on_request=lambda: None):
         self.response = response
         self.close = close
         self.delay_s = delay_s
+        self.on_request = on_request
         self.connections = 0
         self.received = b""
 
@@ -37,6 +38,7 @@
         try:
             while data := await reader.read(65536):
                 self.received += data
+                self.on_request()
                 await asyncio.sleep(self.delay_s)
                 writer.write(self.response)
                 await writer.drain()
@@ -48,11 +50,16 @@
 
 
 @asynccontextmanager
-async def serving(raw):
+async def listening(raw):
     (port,) = free_ports(1)
-    server = await asyncio.start_server(raw.serve, "127.0.0.1", port)
-    async with server, open_sessions(8) as sessions:
-        yield sessions, replace(TARGET, address=f"127.0.0.1:{port}")
+    async with await asyncio.start_server(raw.serve, "127.0.0.1", port):
+        yield f"127.0.0.1:{port}"
+
+
+@asynccontextmanager
+async def serving(raw):
+    async with listening(raw) as address, open_sessions(8) as sessions:
+        yield sessions, replace(TARGET, address=address)
 
 
 def attempt(raw, request=None, guard=lambda: None, times=1):
--- a/packages/routing/tests/test_router.py
+++ b/packages/routing/tests/test_router.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import random
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field, replace
 from time import monotonic
 
+import pytest
+from test_attempts import COMPLETE, TRUNCATED, RawTarget, listening
 from test_slots import POLICY, SERVICE, make_request
 
 from peridot_placement.assignments import Assignment
@@ -57,10 +59,37 @@
         return self.script.pop(0) if len(self.script) > 1 else self.script[0]
 
 
-def owned_by(target):
+@dataclass
+class LocalForwarder(Forwarder):
+    """Dispatches requests on this VM, as if it were the front of all targets."""
+
+    router: Router
+
+    async def forward(self, address, request, target):
+        return await self.router.dispatch_locally(request, target)
+
+
+def owned_by(target, sequence=1, next_owner=None):
     table = SliceTable()
     table.set_owner(0, target)
-    return Assignment("s", "dc-a", 1, 1, "w", table)
+    if next_owner is not None:
+        table.start_move(0, next_owner)
+    return Assignment("s", "dc-a", 1, sequence, "w", table)
+
+
+def apply_tables(tables, *assignments):
+    for assignment in assignments:
+        tables.apply(assignment.epoch, [assignment])
+
+
+def move_away_and_back(tables):
+    apply_tables(
+        tables,
+        owned_by("t1", 2, "t2"),
+        owned_by("t2", 3),
+        owned_by("t2", 4, "t1"),
+        owned_by("t1", 5),
+    )
 
 
 @asynccontextmanager
@@ -215,6 +244,109 @@
     asyncio.run(session())
 
 
+def handle_at_failing_target(hook):
+    """Handle a request at t1, which breaks off its first response.
+
+    The hook is called with the VM's tables before that. Returns the outcome and how
+    often t1 and t2 received the request.
+    """
+
+    async def session():
+        async with router_with([ANSWER]) as router:
+            router.forwarder = LocalForwarder(router)
+            router.tables.permit.extend(1, boot_time(), 5.0)
+
+            def on_request():
+                if failing.connections == 1:
+                    hook(router.tables)
+                else:
+                    failing.response, failing.close = COMPLETE, False
+
+            failing = RawTarget(TRUNCATED, close=True, on_request=on_request)
+            other = RawTarget(COMPLETE)
+            async with listening(failing) as first, listening(other) as second:
+                targets = {
+                    "t1": replace(TARGETS["t1"], address=first),
+                    "t2": replace(TARGETS["t2"], address=second),
+                }
+                catalog = replace(router.catalog(), targets=targets)
+                router.dispatcher.catalog = lambda: catalog
+                outcome = await router.handle(make_request(1))
+            runs = [raw.received.count(b"Request-Id: r") for raw in (failing, other)]
+            return outcome, *runs
+
+    return asyncio.run(session())
+
+
+# Guards against two runs of a request at a target, in two periods of its ownership with
+# another owner between them: the target's work then seems to span that owner's.
+def test_request_that_may_have_run_is_not_repeated_after_its_key_left_and_returned():
+    outcome, runs, other_runs = handle_at_failing_target(move_away_and_back)
+    assert (runs, other_runs) == (1, 0)
+    assert isinstance(outcome, Unknown)
+    assert outcome.reason is Reason.TORN_ANSWER
+
+
+# The same if this VM had no permit meanwhile, so that the key may have moved unseen.
+def test_request_is_not_repeated_by_tables_that_follow_an_expired_permit():
+    def hook(tables):
+        tables.permit.valid_until = boot_time() - 1.0
+        apply_tables(tables, owned_by("t1", 5))
+        tables.permit.extend(1, boot_time(), 5.0)
+
+    outcome, runs, _ = handle_at_failing_target(hook)
+    assert runs == 1
+    assert isinstance(outcome, Unknown)
+
+
+# Guards against a check so strict that retries end with any change of the tables.
+@pytest.mark.parametrize(
+    "assignments",
+    [
+        [],
+        [owned_by("t1", 2)],
+        [owned_by("t1", 2, "t2"), owned_by("t1", 3)],
+    ],
+)
+def test_request_is_repeated_at_an_owner_that_kept_its_key(assignments):
+    outcome, runs, _ = handle_at_failing_target(
+        lambda tables: apply_tables(tables, *assignments)
+    )
+    assert isinstance(outcome, Answered)
+    assert runs == 2
+
+
+def test_request_is_repeated_at_the_next_owner_of_its_key():
+    outcome, runs, other_runs = handle_at_failing_target(
+        lambda tables: apply_tables(tables, owned_by("t1", 2, "t2"), owned_by("t2", 3))
+    )
+    assert isinstance(outcome, Answered)
+    assert (runs, other_runs) == (1, 1)
+
+
+# Guards against a copy of a request that waits for a slot while another front repeats
+# the request: the copy is sent in a later period of ownership.
+def test_request_that_waited_while_its_key_left_and_returned_is_not_sent():
+    async def session():
+        async with router_with([ANSWER]) as router:
+            router.tables.permit.extend(1, boot_time(), 5.0)
+            channel = await router.dispatcher._get_channel("t1", POLICY)
+            async with AsyncExitStack() as stack:
+                for key in range(TARGETS["t1"].slots):
+                    await stack.enter_async_context(
+                        channel.queue.slot(make_request(100 + key))
+                    )
+                task = asyncio.create_task(
+                    router.dispatch_locally(make_request(1), "t1")
+                )
+                await asyncio.sleep(0.05)
+                assert len(channel.queue.waiters) == 1
+                move_away_and_back(router.tables)
+            return await task
+
+    assert asyncio.run(session()).reason is Reason.NOT_OWNER
+
+
 def test_retry_budget_is_a_share_of_recent_requests():
     budget = RetryBudget(0.1, decayed_at=monotonic())
     for _ in range(100):
