End idempotent forwarded requests when their link breaks

Callers saw: nothing directly. A copy of an idempotent request went on at a front, waiting for a slot or running, after the link from its entry VM had broken and the entry VM had repeated the request through the next front. It was no part of what the retry knew of earlier runs.

Cause: the handler of the stream ended without its calls' tasks.

Fix: idempotent calls are cancelled with their stream, as if the caller had disconnected; others run to their end.

Test failed before: TimeoutError, the forwarded GET still waited 2 s after its link was closed. Run after: the daemon's tests pass (48).

--- a/packages/daemon/peridot_daemon/peers.py
+++ b/packages/daemon/peridot_daemon/peers.py
@@ -25,6 +25,7 @@
 from peridot_placement.terms import DaemonInstance
 from peridot_resources.catalog import Catalog
 from peridot_routing.outcomes import NotRun, Outcome, Reason
+from peridot_routing.requests import RoutedRequest
 from peridot_routing.router import Router
 from peridot_wire import peridot_pb2 as pb
 from peridot_wire.peridot_grpc import PeerBase
@@ -58,17 +59,25 @@
         await stream.send_initial_metadata()
         replies: asyncio.Queue[pb.ForwardReply] = asyncio.Queue()
         tasks: dict[int, asyncio.Task] = {}
+        # Tasks of idempotent requests, which the entry VM repeats if this link breaks.
+        repeatable: set[asyncio.Task] = set()
         sender = asyncio.create_task(_send_replies(stream, replies))
         try:
             async for message in stream:
                 if message.cancel:
                     self._cancel_call(tasks, message.id)
                     continue
-                task = asyncio.create_task(self._serve_call(message, replies))
+                request = self._parse_request(message)
+                task = asyncio.create_task(self._serve_call(message, request, replies))
+                if isinstance(request, RoutedRequest) and request.idempotent:
+                    repeatable.add(task)
+                    task.add_done_callback(repeatable.discard)
                 tasks[message.id] = task
                 task.add_done_callback(lambda _, id=message.id: tasks.pop(id, None))
         finally:
             sender.cancel()
+            for task in repeatable:
+                task.cancel()
 
     async def Sync(self, stream: Stream[pb.SyncRequest, pb.SyncUpdate]) -> None:
         request = await stream.recv_message()
@@ -182,21 +191,30 @@
             task.cancel()
 
     async def _serve_call(
-        self, message: pb.ForwardRequest, replies: asyncio.Queue
+        self,
+        message: pb.ForwardRequest,
+        request: RoutedRequest | NotRun,
+        replies: asyncio.Queue,
     ) -> None:
         self.open_forwards += 1
         try:
-            outcome = await self._run_forwarded(message)
+            outcome = await self._run_forwarded(request, message.target)
         finally:
             self.open_forwards -= 1
         replies.put_nowait(serialize_outcome(outcome, message.id))
 
-    async def _run_forwarded(self, message: pb.ForwardRequest) -> Outcome:
+    def _parse_request(self, message: pb.ForwardRequest) -> RoutedRequest | NotRun:
         try:
-            request = parse_request(message, self.catalog())
+            return parse_request(message, self.catalog())
         except InvalidMessage as error:
             return NotRun(Reason.BAD_REQUEST, detail=str(error))
-        return await self.router.dispatch_locally(request, message.target)
+
+    async def _run_forwarded(
+        self, request: RoutedRequest | NotRun, target: str
+    ) -> Outcome:
+        if isinstance(request, NotRun):
+            return request
+        return await self.router.dispatch_locally(request, target)
 
 
 @asynccontextmanager
--- a/packages/daemon/tests/test_links.py
+++ b/packages/daemon/tests/test_links.py
@@ -3,8 +3,10 @@
 import asyncio
 
 from grpclib.server import Server
+from test_messages import CATALOG
 
 from peridot_daemon.links import open_channel, open_stream
+from peridot_daemon.peers import PeerServer
 from peridot_daemon.tls import PeerTls
 from peridot_fakes.fleet import free_ports
 from peridot_wire import peridot_pb2 as pb
@@ -39,6 +41,57 @@
         self.server = self.client = None
 
 
+class WaitingRouter:
+    """Router whose requests wait until they are cancelled, and are counted."""
+
+    def __init__(self):
+        self.waiting = set()
+        self.started = asyncio.Event()
+
+    async def dispatch_locally(self, request, target):
+        self.waiting.add(request.method)
+        if len(self.waiting) == 2:
+            self.started.set()
+        try:
+            await asyncio.Event().wait()
+        finally:
+            self.waiting.discard(request.method)
+
+
+# Guards against copies of a request that wait for a slot at a front that was given up:
+# the entry VM repeats idempotent ones through the next front. Others run to their end.
+def test_idempotent_requests_end_with_the_link_that_brought_them():
+    async def scenario():
+        (port,) = free_ports(1)
+        router = WaitingRouter()
+        peer = PeerServer(None, None, None, router, lambda: CATALOG, None)
+        server = Server([peer])
+        await server.start("127.0.0.1", port)
+        try:
+            async with asyncio.timeout(2.0):
+                async with open_channel(f"127.0.0.1:{port}", NoTls()) as stub:
+                    async with open_stream(stub.Forward) as stream:
+                        for call_id, method in enumerate(("GET", "POST"), 1):
+                            await stream.send_message(
+                                pb.ForwardRequest(
+                                    id=call_id,
+                                    service="s",
+                                    method=method,
+                                    path="/s/x",
+                                    key="k",
+                                    deadline_ms=30_000,
+                                )
+                            )
+                        await router.started.wait()
+                while "GET" in router.waiting:
+                    await asyncio.sleep(0.01)
+                assert router.waiting == {"POST"}
+        finally:
+            server.close()
+
+    asyncio.run(scenario())
+
+
 def test_closing_a_stream_does_not_wait_for_the_peer_to_end_it():
     async def scenario():
         (port,) = free_ports(1)
