Give a cancelled move and a table that is being written different sequences

Callers saw: a key of peridotd could have two owners. With two services divided by key, VMs that applied the cancellation of one service's move never got the other service's table that started a move, yet counted as having applied it. Nothing held the move back, and they sent to the old owner under a valid permit.

Cause: a move is cancelled without a write and without the write lock, for it must not wait for a store that doesn't answer. It took the sequence that a write under way had chosen before it began.

Fix: a table is published under a sequence above all that were published while it was written; what is stored keeps its own. `move_settled` logs the stored one, which the check for lost assignments looks for.

Test failed before: 'assert dict_keys([]) == {'r'}', no table after the cancellation.

--- a/packages/placement/peridot_placement/mover.py
+++ b/packages/placement/peridot_placement/mover.py
@@ -267,7 +267,7 @@
         )
         for move in released:
             self._assign_destination(table, move, usable)
-        await self.placement.write(state, table)
+        stored_sequence = await self.placement.write(state, table)
         for move in released:
             del state.pending_moves[move.range.start]
             self.placement.log.write(
@@ -276,7 +276,7 @@
                 slice=f"{move.range.start:016x}",
                 target=move.destination,
                 term=self.placement.epoch[0],
-                sequence=self.placement.sequence,
+                sequence=stored_sequence,
                 took_ms=int((boot_time() - move.started_at) * 1000),
                 reason=move.reason,
             )
--- a/packages/placement/peridot_placement/placement_state.py
+++ b/packages/placement/peridot_placement/placement_state.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from uuid import uuid4
 
 from peridot_objects.objects import ObjectStore
@@ -103,10 +103,11 @@
         """Wake all lease streams so that they send what changed."""
         self.tables_changed.notify()
 
-    async def write(self, state: ServiceState, table: SliceTable) -> None:
+    async def write(self, state: ServiceState, table: SliceTable) -> int:
         """Store a table as a service's assignment, then use it.
 
-        Raises AssignmentNotStored unless it is known to be stored.
+        Return the sequence that it is stored under. Raises AssignmentNotStored unless
+        it is known to be stored.
         """
         async with self.write_lock:
             sequence = self.sequence + 1
@@ -141,6 +142,9 @@
             )
             self.store_available = True
             self.counts.assignment_writes += 1
-            self.sequence = sequence
-            state.assignment = assignment
+            # A move that was cancelled meanwhile took this sequence. VMs that have
+            # applied it get the table under a higher one.
+            self.sequence += 1
+            state.assignment = replace(assignment, sequence=self.sequence)
             state.version = outcome.version
+            return sequence
--- a/packages/placement/tests/test_placer.py
+++ b/packages/placement/tests/test_placer.py
@@ -2,10 +2,11 @@
 
 import asyncio
 from contextlib import ExitStack, asynccontextmanager
+from dataclasses import replace
 
 from peridot_objects.objects import MemoryObjectStore
 from peridot_objects.outcomes import StoredObject
-from peridot_placement.assignments import parse_assignment
+from peridot_placement.assignments import Assignment, parse_assignment
 from peridot_placement.clock import boot_time
 from peridot_placement.decisions import MemoryDecisionLog
 from peridot_placement.keeper import (
@@ -14,7 +15,22 @@
     PromiseOutcome,
     TermElector,
 )
-from peridot_placement.terms import PROMISE_S, Candidacy, DaemonInstance, parse_term
+from peridot_placement.mover import ServiceMover
+from peridot_placement.placement_state import (
+    PendingMove,
+    PlacementState,
+    ServiceState,
+)
+from peridot_placement.placer import Placer
+from peridot_placement.slices import HomeTable, SliceTable
+from peridot_placement.terms import (
+    PROMISE_S,
+    Candidacy,
+    DaemonInstance,
+    HeldTerm,
+    TermRecord,
+    parse_term,
+)
 from peridot_resources.catalog import Catalog, RoutingPolicy, Service, Target
 from peridot_wire import peridot_pb2 as pb
 
@@ -426,3 +442,77 @@
             assert not cluster.request_permit(placer).granted
 
     run(scenario)
+
+
+def settled_state(service, sequence):
+    """Return the state of a service in which t1 owns all hashes."""
+    table = SliceTable()
+    table.set_owner(0, "t1")
+    assignment = Assignment(service, "dc", 1, sequence, "w", table)
+    return ServiceState(assignment, 0, HomeTable((0,), ("dc",)))
+
+
+def make_placer(store, *services):
+    """Return a placer of term 1; t1 owns all services and is a target of the last."""
+    holder = DaemonInstance("vm1", "i-vm1", "a-vm1")
+    held = HeldTerm(TermRecord(1, holder, (), "w"), 1, float("-inf"))
+    held.confirmed_from = boot_time()
+    catalog = Catalog(
+        1,
+        {name: replace(SERVICE, name=name) for name in services},
+        {"t1": replace(TARGETS["t1"], service=services[-1])},
+        {"p": POLICY},
+    )
+
+    async def confirm():
+        held.confirmed_from = boot_time()
+
+    placement = PlacementState(
+        store, "dc", held, lambda: catalog, confirm, MemoryDecisionLog()
+    )
+    for sequence, name in enumerate(services, 1):
+        placement.states[name] = settled_state(name, sequence)
+    placement.sequence = len(services)
+    placer = Placer(placement)
+    placer.ready = True
+    return placer
+
+
+def test_tables_written_while_a_move_is_cancelled_reach_vms_that_saw_the_cancellation():
+    """Guard against two owners: a VM that is taken to have applied a started move.
+
+    The cancellation of one service's move and the table of another that was being
+    written had the same sequence.
+    """
+
+    async def scenario():
+        store = MemoryObjectStore()
+        placer = make_placer(store, "r", "s")
+        placement, states = placer.placement, placer.placement.states
+        to_cancel = states["s"].assignment.table.copy()
+        to_cancel.start_move(0, "t2")
+        await placement.write(states["s"], to_cancel)
+        move = PendingMove(
+            to_cancel.range_at(0), "t2", placement.epoch, boot_time(), "test"
+        )
+        states["s"].pending_moves[0] = move
+        started = states["r"].assignment.table.copy()
+        started.start_move(0, "t2")
+        store.delay_s = 0.1
+        writing = asyncio.create_task(placement.write(states["r"], started))
+        await asyncio.sleep(0.05)
+        ServiceMover(placement, "s")._cancel_moves()
+        assert not states["s"].pending_moves
+        seen = placer.build_update((0, 0), 0)
+        await writing
+        reply = placer.build_update((seen.term, seen.sequence), 0)
+        tables = {
+            item.service: parse_assignment(item.assignment) for item in reply.tables
+        }
+        assert tables.keys() == {"r"}
+        assert tables["r"].table == started
+        assert tables["r"].sequence == reply.sequence > seen.sequence
+        stored = await store.read("Assignment", "r.dc")
+        assert parse_assignment(stored.value).table == started
+
+    asyncio.run(scenario())
