Report grants of deleted targets as busy under their service

Callers saw: a key of a target that was deleted could be served by its next owner while the grant of the old one was still valid, up to 0.4 s.

Cause: the front reported ranges that a target may still serve under the service of the target's present declaration, '' if there is none, which matches no service at the placer.

Fix: grants are kept by service and target. As a target that isn't watched any more reports no end of its requests, those that it reported as running count until their deadline has passed since its last response; until now they counted for ever, which would now keep their slices without an owner.

--- a/packages/placement/peridot_placement/grants.py
+++ b/packages/placement/peridot_placement/grants.py
@@ -173,12 +173,16 @@
         self.running_outside = accepted.running_outside
 
     def stale_ranges(
-        self, current: tuple[HashRange, ...], now: float
+        self, current: tuple[HashRange, ...], now: float, longest_run_s: float
     ) -> list[HashRange]:
-        """Return the ranges that the target may still serve contrary to the table."""
-        running = [
-            HashRange(key_hash, key_hash + 1) for key_hash in self.running_outside
-        ]
+        """Return the ranges that the target may still serve contrary to the table.
+
+        Requests that it reported as running have ended once their deadline has passed,
+        `longest_run_s` after its last response.
+        """
+        running = []
+        if now < self.last_response_at + add_drift_margin(longest_run_s):
+            running = [HashRange(item, item + 1) for item in self.running_outside]
         if now >= self.expires_at:
             return running
         granted = [
--- a/packages/routing/peridot_routing/watcher.py
+++ b/packages/routing/peridot_routing/watcher.py
@@ -61,7 +61,8 @@
     on_change: Callable[[], None]
     log: DecisionLog
     health: dict[str, TargetHealth] = field(default_factory=dict)
-    grants: dict[str, GrantState] = field(default_factory=dict)
+    # By service and target: a grant outlives changes of the target's declaration.
+    grants: dict[tuple[str, str], GrantState] = field(default_factory=dict)
     tasks: dict[str, asyncio.Task] = field(default_factory=dict)
 
     def lost_targets(self) -> set[str]:
@@ -72,12 +73,10 @@
         """Return the ranges that targets may still serve but don't own any more."""
         now = boot_time()
         busy = []
-        for name, state in self.grants.items():
-            target = self.catalog().targets.get(name)
-            service = target.service if target else ""
+        for (service, name), state in self.grants.items():
             current = self._owned_ranges(service, name)
-            for item in state.stale_ranges(current, now):
-                busy.append(BusyRange(service, item))
+            stale = state.stale_ranges(current, now, self._longest_run_s(service))
+            busy += [BusyRange(service, item) for item in stale]
         return busy
 
     async def run(self, data_centre: str) -> None:
@@ -131,7 +130,7 @@
         return await self.client.probe(target.address)
 
     async def _renew(self, target: Target) -> GrantOutcome:
-        state = self.grants.setdefault(target.name, GrantState())
+        state = self.grants.setdefault((target.service, target.name), GrantState())
         if state.clock_ms is None:
             outcome = await self.client.probe(target.address)
             if isinstance(outcome, GrantAccepted):
@@ -192,6 +191,14 @@
             self.cancel_attempts(target.name)
         self.on_change()
 
+    def _longest_run_s(self, service: str) -> float:
+        """Return how long requests of a service run, infinity if that is unknown."""
+        catalog = self.catalog()
+        declared = catalog.services.get(service)
+        if declared is None or declared.policy not in catalog.policies:
+            return float("inf")
+        return catalog.policy_of(declared).deadline_ms / 1000
+
     def _owned_ranges(self, service: str, target: str) -> tuple[HashRange, ...]:
         assignment = self.tables.assignments.get(service)
         return assignment.table.ranges_owned_by(target) if assignment else ()
