--- a/packages/routing/tests/test_admission.py
+++ b/packages/routing/tests/test_admission.py
@@ -44,6 +44,37 @@
     assert {5, 8} in windows
 
 
+def overloaded_admission(clock):
+    """Return an admission of which overload has left only class 8."""
+    admission = PriorityAdmission(clock)
+    for _ in range(6):
+        run_window(admission, clock, overloaded=True)
+    assert not admission.admits(5)
+    return admission
+
+
+# Guards against a class that is refused for ever: without requests of the classes above
+# it, no window had enough admitted requests to count.
+def test_lower_class_is_admitted_again_though_no_higher_one_sends_requests():
+    clock = Clock()
+    admission = overloaded_admission(clock)
+    started_at = clock.now
+    while not admission.admits(1):
+        assert clock.now - started_at < 5.0
+        clock.now += 0.01
+
+
+# Guards against a class that is let in on the little that is known of the ones above.
+def test_lower_class_stays_out_while_the_few_requests_above_it_meet_overload():
+    clock = Clock()
+    admission = overloaded_admission(clock)
+    for number in range(1000):
+        assert not admission.admits(1)
+        if number % 20 == 0 and admission.admits(8):
+            admission.record(overloaded=True)
+        clock.now += 0.01
+
+
 def test_service_with_one_class_is_always_admitted():
     clock = Clock()
     admission = PriorityAdmission(clock)
