Start waiting requests when a target gets more slots

Callers saw: requests that waited for a slot although the target had free ones, until one that ran had ended, if its slots or the share of a key were raised.

Cause: the queue's limits were replaced without a look at its waiters.

Fix: the queue is told of its limits by one call, which grants free slots. The front still learns of the change with the next request for the target.

Tests failed before: ['1'] == ['1', '2', '3', '4'] and 3 == 4. Run after: routing's tests pass (55).

--- a/packages/routing/peridot_routing/fronts.py
+++ b/packages/routing/peridot_routing/fronts.py
@@ -52,9 +52,7 @@
             self.leaving_since = monotonic()
         self.target = target
         self.policy = policy
-        self.queue.slots = target.slots
-        self.queue.queue_length = policy.queue_length
-        self.queue.key_share = policy.key_share
+        self.queue.resize(target.slots, policy.queue_length, policy.key_share)
 
     def refuses_requests(self, owns_keys: bool) -> bool:
         """Return whether a leaving target gets no more requests.
--- a/packages/routing/peridot_routing/slots.py
+++ b/packages/routing/peridot_routing/slots.py
@@ -57,6 +57,13 @@
             self._record_service_time(monotonic() - started_at)
             self._release_slot(request.key_hash)
 
+    def resize(self, slots: int, queue_length: int, key_share: float) -> None:
+        """Apply changed limits; requests that need wait no longer get slots."""
+        self.slots = slots
+        self.queue_length = queue_length
+        self.key_share = key_share
+        self._grant_free_slots()
+
     def expected_wait_s(self, priority: int) -> float:
         """Return how long a new request of a priority is expected to wait."""
         if self.busy < self.slots:
--- a/packages/routing/tests/test_slots.py
+++ b/packages/routing/tests/test_slots.py
@@ -142,3 +142,47 @@
         assert (queue.busy, queue.waiters, queue.busy_by_key) == (0, [], {})
 
     asyncio.run(session())
+
+
+async def fill_queue(queue, requests):
+    """Start requests that hold their slots; return them after a moment, with order."""
+    order = []
+    tasks = [
+        asyncio.create_task(occupy_slot(queue, request, 30.0, order, request.key))
+        for request in requests
+    ]
+    await asyncio.sleep(0.01)
+    return tasks, order
+
+
+# Guards against free slots beside waiting requests: only the end of a running one woke
+# them.
+def test_more_slots_wake_waiting_requests_at_once():
+    async def session():
+        queue = SlotQueue(1, 50, 1.0)
+        tasks, order = await fill_queue(queue, [make_request(n) for n in range(1, 6)])
+        assert order == ["1"]
+        queue.resize(4, 50, 1.0)
+        await asyncio.sleep(0.01)
+        for task in tasks:
+            task.cancel()
+        return order
+
+    assert asyncio.run(session()) == ["1", "2", "3", "4"]
+
+
+def test_larger_share_of_a_key_wakes_its_waiting_requests_at_once():
+    async def session():
+        queue = SlotQueue(4, 50, 0.25)
+        hot = [make_request(7) for _ in range(4)]
+        tasks, order = await fill_queue(queue, hot)
+        started = len(order)
+        queue.resize(4, 50, 1.0)
+        await asyncio.sleep(0.01)
+        for task in tasks:
+            task.cancel()
+        return started, len(order)
+
+    started, after = asyncio.run(session())
+    assert started == 3
+    assert after == 4
