Cut returning keys out of ranges instead of leaving whole ranges alone

Cause: a range that contains one key that its next target had just given away was not moved there at all, so a target could stay idle for 3 s because of a single cold key; and the source itself could be taken as the destination.

Change: the keys given away are cut out of the candidates for that target only; the next idlest targets are tried only where keys would return to the idlest.

test_a_target_that_gave_one_key_away_gets_the_others failed on the commit before (no moves; with the argument's earlier form).

--- a/packages/ownership/peridot_ownership/placer.py
+++ b/packages/ownership/peridot_ownership/placer.py
@@ -11,7 +11,6 @@
 from peridot_ownership.planner import (
     PlanInput,
     RangeMove,
-    RecentOwner,
     measure_balance,
     plan_moves,
 )
@@ -33,8 +32,8 @@
 MAX_FAILURES = 2
 # Time between plans; a plan is costly, as it sums the load of all keys.
 PLAN_PERIOD_S = 0.3
-# For how long keys don't return to a target that gave them away if another target can
-# take them: a plan that moves them back so soon follows noise in the load.
+# For how long balancing returns no keys to a target that gave them away: a plan that
+# moves them back so soon follows noise in the load.
 RETURN_DELAY_S = 3.0
 # Time between log lines on the balance of a service.
 BALANCE_LOG_S = 1.0
@@ -80,8 +79,8 @@
         record_writer.handle_restore = self._expect_lost_term
         self.target_states: dict[str, TargetState] = {}
         self.moving: dict[str, list[KeyRange]] = {}
-        # Targets that gave keys away, by service, and until when (s) none return.
-        self.recent_owners: dict[str, list[tuple[RecentOwner, float]]] = {}
+        # Moves that have ended, by service, and until when (s) no keys return.
+        self.recent_moves: dict[str, list[tuple[RangeMove, float]]] = {}
         self.tasks: set[asyncio.Task] = set()
         self.changed = ChangeSignal()
         self.sequence = 1
@@ -213,7 +212,7 @@
             self.view.loads_of(service).profile(boot_time()),
             capacities,
             tuple(self.moving.get(service, ())),
-            self._find_recent_owners(service),
+            self._find_given_away(service),
         )
         self._log_balance(service, plan)
         for move in plan_moves(plan):
@@ -231,18 +230,20 @@
             )
             self._start_move(service, move)
 
-    def _find_recent_owners(self, service: str) -> tuple[RecentOwner, ...]:
-        """Return the targets that keys don't return to; forget earlier ones."""
+    def _find_given_away(self, service: str) -> dict[str, list[KeyRange]]:
+        """Return the keys that don't return to targets yet; forget earlier moves."""
         now = boot_time()
-        kept = [item for item in self.recent_owners.get(service, ()) if item[1] > now]
-        self.recent_owners[service] = kept
-        return tuple(recent for recent, _ in kept)
-
-    def _record_recent_owner(self, service: str, move: RangeMove) -> None:
+        recent = [item for item in self.recent_moves.get(service, ()) if item[1] > now]
+        self.recent_moves[service] = recent
+        given_away: dict[str, list[KeyRange]] = {}
+        for move, _ in recent:
+            given_away.setdefault(move.source, []).append(move.keys)
+        return given_away
+
+    def _record_recent_move(self, service: str, move: RangeMove) -> None:
         if move.source is not None and move.source != move.destination:
-            recent = RecentOwner(move.keys, move.source)
             until = boot_time() + RETURN_DELAY_S
-            self.recent_owners.setdefault(service, []).append((recent, until))
+            self.recent_moves.setdefault(service, []).append((move, until))
 
     def _log_balance(self, service: str, plan: PlanInput) -> None:
         now = boot_time()
@@ -311,7 +312,7 @@
             await self._grant_to_new_owner(move, fence, handover)
         self._log_moved(service, move, (started_at, revoked_at, stored_at, boot_time()))
         self.moves += 1
-        self._record_recent_owner(service, move)
+        self._record_recent_move(service, move)
         self._merge_neighbours(service, move.keys)
 
     def _log_moved(
--- a/packages/ownership/peridot_ownership/planner.py
+++ b/packages/ownership/peridot_ownership/planner.py
@@ -1,7 +1,7 @@
 """Planning of key range moves (gateway mode): balances load by target capacity."""
 
-from collections.abc import Collection, Mapping
-from dataclasses import dataclass
+from collections.abc import Collection, Iterator, Mapping
+from dataclasses import dataclass, field
 
 from peridot_ownership.loads import LoadProfile
 from peridot_ownership.ranges import KEY_SPACE, KeyRange, OwnedRange, RangeTable
@@ -49,14 +49,6 @@
     reason: str
 
 
-@dataclass(frozen=True)
-class RecentOwner:
-    """Keys that a target has just given away."""
-
-    keys: KeyRange
-    target: str
-
-
 @dataclass(frozen=True)
 class PlanInput:
     """The input of a plan; capacities are requests per second by target."""
@@ -66,15 +58,12 @@
     capacities: Mapping[str, float]
     # Keys that are moving already.
     moving: Collection[KeyRange] = ()
-    # Keys don't return to these owners while another target can take them.
-    recent_owners: Collection[RecentOwner] = ()
+    # Keys that targets have just given away, by target; they don't return yet.
+    given_away: Mapping[str, Collection[KeyRange]] = field(default_factory=dict)
 
     def would_return(self, keys: KeyRange, target: str) -> bool:
         """Return whether a target has just given some of the keys away."""
-        return any(
-            item.target == target and item.keys.overlaps(keys)
-            for item in self.recent_owners
-        )
+        return any(item.overlaps(keys) for item in self.given_away.get(target, ()))
 
 
 @dataclass(frozen=True)
@@ -233,25 +222,26 @@
         utilisation = loads.utilisation(source)
         if utilisation <= mean:
             return None
-        destination = _idlest_other(plan, owned[source], by_utilisation)
-        idle = loads.utilisation(destination) < mean * IDLE_FACTOR
-        hot = utilisation > max(mean * HOT_FACTOR, HOT_UTILISATION)
-        if not (hot or idle) or loads.utilisation(destination) >= mean:
-            continue
-        keys = _best_range(plan, loads, owned, source, destination)
-        if keys is not None:
-            return RangeMove(keys, source, destination, "idle" if idle else "imbalance")
+        for destination in _find_destinations(plan, owned[source], by_utilisation):
+            idle = loads.utilisation(destination) < mean * IDLE_FACTOR
+            hot = utilisation > max(mean * HOT_FACTOR, HOT_UTILISATION)
+            if not (hot or idle) or loads.utilisation(destination) >= mean:
+                break
+            keys = _best_range(plan, loads, owned, source, destination)
+            if keys is not None:
+                reason = "idle" if idle else "imbalance"
+                return RangeMove(keys, source, destination, reason)
     return None
 
 
-def _idlest_other(
+def _find_destinations(
     plan: PlanInput, ranges: list[KeyRange], by_utilisation: list[str]
-) -> str:
-    """Return the idlest target that some of the ranges wouldn't return to."""
+) -> Iterator[str]:
+    """Yield the idlest target, and the next ones as long as keys would return."""
     for target in by_utilisation:
-        if not all(plan.would_return(keys, target) for keys in ranges):
-            return target
-    return by_utilisation[0]
+        yield target
+        if not any(plan.would_return(keys, target) for keys in ranges):
+            return
 
 
 def _best_range(
@@ -275,10 +265,10 @@
         for bound in (item.keys.start, item.keys.end)
     }
     best: tuple[float, KeyRange] | None = None
-    for keys in owned[source]:
+    given_away = plan.given_away.get(destination, ())
+    available = [part for keys in owned[source] for part in keys.minus(given_away)]
+    for keys in available:
         for candidate in _candidate_ranges(plan.profile, keys, desired_rate, dominant):
-            if plan.would_return(candidate, destination):
-                continue
             rate = plan.profile.load(candidate)
             if not min_rate <= rate <= MAX_TRANSFER_SHARE * desired_rate:
                 continue
--- a/packages/ownership/tests/test_planner.py
+++ b/packages/ownership/tests/test_planner.py
@@ -5,7 +5,7 @@
 import pytest
 
 from peridot_ownership.loads import KeyLoads, LoadProfile
-from peridot_ownership.planner import PlanInput, RecentOwner, plan_moves
+from peridot_ownership.planner import PlanInput, plan_moves
 from peridot_ownership.ranges import ALL_KEYS, KEY_SPACE, KeyRange, RangeTable
 
 TARGETS = 14
@@ -187,8 +187,8 @@
     rates = {key: 0.5 for key in range(100, 10_000, 250)}
     profile = make_profile(rates | {10_500: 0.5, 20_500: 1.0})
     capacities = dict.fromkeys(("hot", "recent", "other"), 20.0)
-    given_away = (RecentOwner(KeyRange(0, 10_000), "recent"),)
-    plan = PlanInput(table, profile, capacities, recent_owners=given_away)
+    given_away = {"recent": [KeyRange(0, 10_000)]}
+    plan = PlanInput(table, profile, capacities, given_away=given_away)
     moves = [move for move in plan_moves(plan) if move.source == "hot"]
     assert {move.destination for move in moves} == {"other"}
 
@@ -196,10 +196,23 @@
 # Guards against keys without an owner that wait for a target other than the last one.
 def test_unowned_keys_return_to_a_recent_owner_if_no_other_target_is_left():
     profile = make_profile({100: 1.0})
-    given_away = (RecentOwner(ALL_KEYS, "a"),)
+    given_away = {"a": [ALL_KEYS]}
     for capacities, destinations in (
         ({"a": 20.0}, {"a"}),
         ({"a": 20.0, "b": 1.0}, {"b"}),
     ):
-        plan = PlanInput(RangeTable(), profile, capacities, recent_owners=given_away)
+        plan = PlanInput(RangeTable(), profile, capacities, given_away=given_away)
         assert {move.destination for move in plan_moves(plan)} == destinations
+
+
+# Guards against a target that stays idle because one cold key was moved away from it.
+def test_a_target_that_gave_one_key_away_gets_the_others():
+    table = RangeTable()
+    table.assign(ALL_KEYS, "hot", 1)
+    profile = make_profile({key: 0.5 for key in range(0, KEY_SPACE, 1_000)})
+    capacities = {"hot": 20.0, "idle": 20.0}
+    given_away = {"idle": [KeyRange(50_000, 50_001)]}
+    plan = PlanInput(table, profile, capacities, given_away=given_away)
+    moves = plan_moves(plan)
+    assert moves
+    assert not any(move.keys.start <= 50_000 < move.keys.end for move in moves)
