Take a record as written only if its version rose

Callers could see: a late copy of the response to the read or write before, once the write of the placement record was sent to the store, counted as that write's response. A VM then acquired a term that the store didn't have, beside the placer that had it, or acted on a record that a successor wouldn't find.

Cause: the copy names the right object, at the version that the write expects.

Change: the record differs at each write, and the store's version rises with each change, so a version that didn't rise is a write of unknown outcome. It is logged and resolved as before: by reading the record.

--- a/packages/ownership/peridot_ownership/recorder.py
+++ b/packages/ownership/peridot_ownership/recorder.py
@@ -172,9 +172,7 @@
     ) -> WriteOutcome:
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
-                return await self.store.write(
-                    RECORD_KIND, RECORD_NAME, serialize_record(record), version
-                )
+                return await write_changed_record(self.store, record, version)
         except TimeoutError as error:
             return WriteUnknown(repr(error))
 
@@ -291,6 +289,19 @@
         raise TermLost(f"the stored record is invalid: {error}") from error
 
 
+async def write_changed_record(
+    store: ObjectStore, record: PlacementRecord, version: int
+) -> WriteOutcome:
+    """Replace the record at a version, from which this one differs."""
+    outcome = await store.write(
+        RECORD_KIND, RECORD_NAME, serialize_record(record), version
+    )
+    if isinstance(outcome, Written) and outcome.version <= version:
+        # A late copy of the response to an earlier call; the write may be lost.
+        return WriteUnknown(f"the version did not rise: {outcome.version}")
+    return outcome
+
+
 async def acquire_term(
     store: ObjectStore,
     holder: DaemonInstance,
@@ -319,9 +330,7 @@
     if restored:
         record.certainty = Certainty.OWNERS_UNCERTAIN
     started_at = boot_time()
-    outcome = await store.write(
-        RECORD_KIND, RECORD_NAME, serialize_record(record), version
-    )
+    outcome = await write_changed_record(store, record, version)
     log.write(
         "take_term",
         term=record.term,
