Show that a repeated reply between VMs reaches no other request

The new test of peridotd's links passes on the code as it is: replies carry the id of their request. With the lookup by id taken out on a trial basis it failed with "assert b'/s/1' == b'/s/2'".

--- a/packages/daemon/tests/test_links.py
+++ b/packages/daemon/tests/test_links.py
@@ -5,10 +5,13 @@
 from grpclib.server import Server
 from test_messages import CATALOG
 
-from peridot_daemon.links import open_channel, open_stream
+from peridot_daemon.links import PeerLink, open_channel, open_stream
+from peridot_daemon.messages import parse_request, serialize_outcome
 from peridot_daemon.peers import PeerServer
 from peridot_daemon.tls import PeerTls
 from peridot_fakes.fleet import free_ports
+from peridot_resources.catalog import Catalog, RoutingPolicy, Service
+from peridot_routing.outcomes import Answered
 from peridot_wire import peridot_pb2 as pb
 from peridot_wire.peridot_grpc import PeerBase
 
@@ -109,3 +112,47 @@
             server.close()
 
     asyncio.run(scenario())
+
+
+POLICY = RoutingPolicy(
+    "p", 2000, 1000, 5, (), 0.1, 200, 0.5, 1000, 1000, 60, 1.0, 1.0, 1.0
+)
+SERVICE = Service("s", "/s/", "Key", None, True, frozenset({"GET"}), (), "p")
+CATALOG = Catalog(1, {"s": SERVICE}, {}, {"p": POLICY})
+
+
+class CopyingPeer(EndlessPeer):
+    """Peer that repeats its reply before that to the next request."""
+
+    async def Forward(self, stream):
+        await stream.send_initial_metadata()
+        copy = None
+        async for request in stream:
+            if copy is not None:
+                await stream.send_message(copy)
+            outcome = Answered(200, (), request.path.encode(), "t")
+            copy = serialize_outcome(outcome, request.id)
+            await stream.send_message(copy)
+
+
+# Guards against a late copy of a reply that counts as that to the next request.
+def test_a_copy_of_a_reply_is_not_taken_for_that_to_the_next_request():
+    async def scenario():
+        (port,) = free_ports(1)
+        server = Server([CopyingPeer()])
+        await server.start("127.0.0.1", port)
+        link = PeerLink(f"127.0.0.1:{port}", NoTls())
+        try:
+            async with asyncio.timeout(2.0):
+                for path in ("/s/1", "/s/2", "/s/3"):
+                    message = pb.ForwardRequest(
+                        service="s", method="GET", path=path, key="k", deadline_ms=1_000
+                    )
+                    request = parse_request(message, CATALOG)
+                    outcome = await link.forward(request, "t")
+                    assert outcome.body == path.encode()
+        finally:
+            await link.close()
+            server.close()
+
+    asyncio.run(scenario())
