Open no second connection to a target that allows one

Callers saw: targets declared with one connection got two from peridotd.

Cause: idempotent and other requests have pools of their own, each of one connection at least.

Fix: with a limit of one, all requests share a pool whose connections aren't reused.

Test failed before: 'assert 2 == 1' requests at the target at once.

--- a/packages/routing/peridot_routing/attempts.py
+++ b/packages/routing/peridot_routing/attempts.py
@@ -112,10 +112,17 @@
 
 @asynccontextmanager
 async def open_sessions(connections: int) -> AsyncIterator[TargetSessions]:
-    """Open sessions with one target, which share out a number of connections."""
+    """Open sessions with one target, which share out a number of connections.
+
+    If it is only one, all requests share it, and none reuses it.
+    """
     unpooled_limit = max(1, connections // 4)
-    pooled = QuietConnector(limit=max(1, connections - unpooled_limit))
     unpooled = TCPConnector(limit=unpooled_limit, force_close=True)
+    if connections == 1:
+        async with _open_session(unpooled) as session:
+            yield TargetSessions(session, session)
+        return
+    pooled = QuietConnector(limit=connections - unpooled_limit)
     async with _open_session(pooled) as first, _open_session(unpooled) as second:
         yield TargetSessions(first, second)
 
--- a/packages/routing/tests/test_attempts.py
+++ b/packages/routing/tests/test_attempts.py
@@ -31,6 +31,8 @@
         self.delay_s = delay_s
         self.on_request = on_request
         self.connections = 0
+        self.running = 0
+        self.most_running = 0
         self.received = b""
 
     async def serve(self, reader, writer):
@@ -39,7 +41,10 @@
             while data := await reader.read(65536):
                 self.received += data
                 self.on_request()
+                self.running += 1
+                self.most_running = max(self.running, self.most_running)
                 await asyncio.sleep(self.delay_s)
+                self.running -= 1
                 writer.write(self.response)
                 await writer.drain()
                 if self.close:
@@ -57,8 +62,8 @@
 
 
 @asynccontextmanager
-async def serving(raw):
-    async with listening(raw) as address, open_sessions(8) as sessions:
+async def serving(raw, connections=8):
+    async with listening(raw) as address, open_sessions(connections) as sessions:
         yield sessions, replace(TARGET, address=address)
 
 
@@ -208,6 +213,26 @@
     assert raw.received.count(b"Request-Id: r") == 1
 
 
+# Guards against a target with a limit of one connection that gets two: one for requests
+# that may share a connection and one for others.
+@pytest.mark.parametrize("connections", [1, 2, 5])
+def test_requests_of_both_kinds_keep_to_the_limit_of_connections(connections):
+    raw = RawTarget(COMPLETE, delay_s=0.01)
+
+    async def session():
+        async with serving(raw, connections) as (sessions, target):
+            requests = [make_request(1), make_non_idempotent_request()] * 10
+            return await asyncio.gather(
+                *(
+                    sessions.attempt(target, request, "1.1", lambda: None)
+                    for request in requests
+                )
+            )
+
+    assert all(isinstance(outcome, Answered) for outcome in asyncio.run(session()))
+    assert raw.most_running == connections
+
+
 def test_router_adds_its_headers_once():
     raw = RawTarget(COMPLETE)
     attempt(raw)
