Let peridotctl apply files that declare nothing

Callers saw: `peridotctl apply` of a file that holds an empty list ended in a traceback.

Cause: the exit code is the highest of the outcomes', and there were none.

Fix: no outcome is a success; apply says that nothing is declared.

Test failed before: 'ValueError: max() arg is an empty sequence'. Run after: ctl's tests pass (17).

--- a/packages/ctl/peridot_ctl/main.py
+++ b/packages/ctl/peridot_ctl/main.py
@@ -141,6 +141,8 @@
     )
     for outcome in outcomes:
         print_outcome(outcome)
+    if not outcomes:
+        print("nothing is declared")
     return worst_exit_code(outcomes)
 
 
@@ -247,9 +249,12 @@
 
 
 def worst_exit_code(outcomes: list[ActionOutcome]) -> int:
-    """Return the highest exit code among outcomes."""
+    """Return the highest exit code among outcomes, success if there are none."""
     codes = {Applied: EXIT_OK, Conflicted: EXIT_CONFLICT, OutcomeUnknown: EXIT_UNKNOWN}
-    return max(codes.get(type(outcome), EXIT_UNAVAILABLE) for outcome in outcomes)
+    return max(
+        (codes.get(type(outcome), EXIT_UNAVAILABLE) for outcome in outcomes),
+        default=EXIT_OK,
+    )
 
 
 def report_unavailable(outcome: StoreUnavailable) -> int:
