Count only the responses within the window as goodput

Readers saw: a goodput of 327 requests a second at a capacity of 300, and 592 in a trial with a window of 1 s.

Cause: responses of requests that were still queued at the end of the window counted, up to the deadline of 2 s, but the window alone divided.

Fix: the load counts responses before its end apart, and goodput and its ratio use these.

Test failed before: 'Tally' object has no attribute 'answered_in_window'; the count of all responses was 4 of which 2 came in the window.

--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -155,9 +155,9 @@
         full = await offer_load(fleet, read_call, CAPACITY, WINDOW_S, seed)
         over = await offer_load(fleet, read_call, CAPACITY * 2, WINDOW_S, seed)
     for name, tally in (("capacity", full), ("twice_capacity", over)):
-        results.note(f"goodput_at_{name}", tally.answered / WINDOW_S, "1/s")
+        results.note(f"goodput_at_{name}", tally.answered_in_window / WINDOW_S, "1/s")
         results.note(f"p99_at_{name}", tally.percentile_ms(99), "ms")
-    ratio = over.answered / full.answered
+    ratio = over.answered_in_window / full.answered_in_window
     results.at_least("goodput_at_twice_capacity", ratio, "ratio", GOODPUT_BOUND)
 
 
--- a/packages/fakes/peridot_fakes/load.py
+++ b/packages/fakes/peridot_fakes/load.py
@@ -35,6 +35,8 @@
 
     sent: int = 0
     answered: int = 0
+    # Those answered before the load ended; the others were still queued then.
+    answered_in_window: int = 0
     not_run: int = 0
     unknown: int = 0
     wrong: int = 0
@@ -62,6 +64,8 @@
     session: ClientSession
     tally: Tally
     track_keys: bool = False
+    # End of the load (s, monotonic clock).
+    ends_at: float = float("inf")
 
     async def send(self, url: str, call: Call) -> str:
         """Send a request; return its outcome as the caller sees it."""
@@ -99,6 +103,7 @@
         now = monotonic()
         if outcome == "answered":
             tally.answered += 1
+            tally.answered_in_window += now <= self.ends_at
             tally.latency.record_value(int((now - started_at) * 1_000_000))
             if not _is_matching_response(body, call, tag):
                 tally.wrong += 1
@@ -143,8 +148,8 @@
     The rate (requests a second), if given, limits all connections together.
     """
     tally = Tally()
-    caller = Caller(session, tally, track_keys)
     ends_at = monotonic() + seconds
+    caller = Caller(session, tally, track_keys, ends_at)
     rng = random.Random(seed)
     pause_s = connections / rate if rate else 0.0
 
