Let the soak find requests that a target ran around another's ownership

The soak checked owners of keys and double runs of non-idempotent requests, but not a request that one target ran before and after another owned its key. It does now, as runs_spanning_another_owner.

The check's own test covers runs with another owner between, before and after them, and of other keys. Whether it finds the fault on the code before its fix was not tried.

--- a/packages/fakes/peridot_fakes/journals.py
+++ b/packages/fakes/peridot_fakes/journals.py
@@ -13,7 +13,8 @@
     """What the journals show; requests are given by their tags.
 
     `run_twice` lists only non-idempotent requests. `overlaps` lists pairs of targets
-    that owned a hash at the same time.
+    that owned a hash at the same time, `spans` requests that one target ran before and
+    after another owned their key.
     """
 
     runs: int = 0
@@ -21,6 +22,7 @@
     refused_but_ran: list[str] = field(default_factory=list)
     answered_but_not_run: list[str] = field(default_factory=list)
     overlaps: list[str] = field(default_factory=list)
+    spans: list[str] = field(default_factory=list)
 
 
 def check_journals(
@@ -43,6 +45,7 @@
     findings.refused_but_ran = [tag for tag in not_run if tag in all_tags]
     findings.answered_but_not_run = [tag for tag in answered if tag not in runs]
     findings.overlaps = find_ownership_overlaps(journals)
+    findings.spans = find_runs_that_span_owners(journals)
     return findings
 
 
@@ -102,6 +105,43 @@
     return found
 
 
+def find_runs_that_span_owners(journals: list[dict]) -> list[str]:
+    """Return the requests that a target ran twice, with another owner between.
+
+    Seen as one time of work, the two runs span the other's ownership of the key.
+    """
+    found = []
+    for journal in journals:
+        runs: dict[str, list[dict]] = {}
+        for run in journal["runs"]:
+            runs.setdefault(run["request_id"], []).append(run)
+        services = {item["service"] for item in journal["ownerships"]}
+        others = [
+            item
+            for other in journals
+            if other is not journal
+            for item in other["ownerships"]
+            if item["service"] in services
+        ]
+        for request_id, repeated in runs.items():
+            repeated.sort(key=lambda run: run["began"])
+            first, last = repeated[0], repeated[-1]
+            if first is last:
+                continue
+            if any(_owned_between(item, first, last) for item in others):
+                found.append(f"{request_id} at {journal['name']}")
+    return found
+
+
+def _owned_between(ownership: dict, first: dict, last: dict) -> bool:
+    """Return whether a target owned the key of two runs for a time between them."""
+    return (
+        ownership["start"] <= first["key_hash"] <= ownership["last"]
+        and ownership["until"] > first["ended"]
+        and ownership["since"] < last["began"]
+    )
+
+
 def _overlap(one: tuple, other: tuple) -> bool:
     different = one[5] != other[5] and one[0] == other[0]
     return different and one[1] <= other[2] and other[1] <= one[2]
--- a/packages/fakes/peridot_fakes/soak.py
+++ b/packages/fakes/peridot_fakes/soak.py
@@ -50,6 +50,7 @@
         """Return the counts of broken guarantees; all must be zero."""
         return {
             "owners_over_one": len(self.findings.overlaps),
+            "runs_spanning_another_owner": len(self.findings.spans),
             "doubled_orders": len(self.findings.run_twice),
             "wrong_answers": self.tally.wrong,
             "not_run_but_ran": len(self.findings.refused_but_ran),
