Let a placer that stopped place again, under a new term

Callers saw: a data centre without a placer, and so without permits, after its placer had stopped while it held the term (its assignment was overwritten, or a check failed) and had no candidate to succeed it.

Cause: on stepping down the elector forgets the term but not its version, and ignores the stored one as not newer. Leading the same term again would have been wrong: the permits of the first time, and the sequences given to cancelled moves, are forgotten with it.

Fix: the stored term is applied again after stepping down.

--- a/packages/placement/peridot_placement/keeper.py
+++ b/packages/placement/peridot_placement/keeper.py
@@ -111,6 +111,8 @@
         self.log = log
         self.record: TermRecord | None = None
         self.version = 0
+        # The last term that this instance has led; it leads none twice.
+        self.led_term = 0
         self.candidacy = Candidacy()
         self.placer: Placer | None = None
         self.last_heartbeat_at = boot_time()
@@ -134,8 +136,13 @@
         self.holder_stopped = True
 
     def observe_record(self, stored: StoredObject) -> None:
-        """Apply a stored term if its version is newer than the known one."""
-        if stored.version <= self.version:
+        """Apply a stored term if its version is newer than the known one.
+
+        After stepping down, the known version itself is applied again.
+        """
+        if stored.version < self.version:
+            return
+        if stored.version == self.version and self.record is not None:
             return
         record = parse_term(stored.value)
         if self.record is None or record.number > self.record.number:
@@ -179,8 +186,11 @@
             if self.record is None:
                 await self._find_or_create_term()
             elif self.record.holder.instance == self.local_instance.instance:
-                await self._run_as_placer(self.record)
-                last_check_at = boot_time()
+                if self.record.number > self.led_term:
+                    await self._run_as_placer(self.record)
+                    last_check_at = boot_time()
+                elif now - self.last_heartbeat_at > NON_CANDIDATE_TIMEOUT_S:
+                    await self._replace_led_term(self.record)
             elif self._should_try_to_acquire(now):
                 await self._try_to_acquire_term()
 
@@ -260,6 +270,18 @@
         if self.candidacy.may_acquire_term(boot_time()):
             await self._store_record(record, self.version)
 
+    async def _replace_led_term(self, led: TermRecord) -> None:
+        """Acquire a new term after one in which this instance stopped as the placer.
+
+        It has forgotten the permits of that term, and which sequences it published
+        without a write. Candidates had time to succeed it.
+        """
+        wait_s = takeover_wait_s(led, holder_stopped=True)
+        record = TermRecord(
+            led.number + 1, self.local_instance, led.candidates, uuid4().hex, wait_s
+        )
+        await self._store_record(record, self.version)
+
     async def _all_members_stopped(self) -> bool:
         """Return whether the holder and all candidates have certainly stopped."""
         for member in (self.record.holder, *self.record.candidates):
@@ -301,6 +323,7 @@
 
     async def _run_as_placer(self, record: TermRecord) -> None:
         """Act as the placer until the term is lost or handed over."""
+        self.led_term = record.number
         earlier_permits_end_at = boot_time() + record.earlier_wait_s
         held = HeldTerm(record, self.version, earlier_permits_end_at)
         self.confirmation_started_at = float("-inf")
--- a/packages/placement/tests/test_placer.py
+++ b/packages/placement/tests/test_placer.py
@@ -24,6 +24,7 @@
 from peridot_placement.placer import Placer
 from peridot_placement.slices import HomeTable, SliceTable
 from peridot_placement.terms import (
+    PERMIT_S,
     PROMISE_S,
     Candidacy,
     DaemonInstance,
@@ -444,6 +445,31 @@
     run(scenario)
 
 
+def test_placer_that_stopped_acquires_a_new_term_and_waits_for_its_own_permits():
+    """Guard against a data centre without a placer, and against a term led twice.
+
+    The second time, the placer would know nothing of the permits of the first, nor of
+    the sequences that it gave to cancelled moves.
+    """
+
+    async def scenario(cluster):
+        async with cluster.running("vm1"):
+            placer = await cluster.placer()
+            await cluster.wait_until(cluster.is_assigned)
+            assert cluster.request_permit(placer).granted
+            placer.placement.held.stopped = True
+            while cluster.peers.electors["vm1"].placer is placer:
+                await asyncio.sleep(0.01)
+            stopped_at = boot_time()
+            successor = await cluster.placer()
+            held = successor.placement.held
+            assert held.record.number == 2
+            assert held.earlier_permits_end_at > stopped_at + PERMIT_S
+            assert cluster.request_permit(successor).granted
+
+    run(scenario)
+
+
 def settled_state(service, sequence):
     """Return the state of a service in which t1 owns all hashes."""
     table = SliceTable()
