Forget running requests of a target that refuses connections

Callers saw: keys without an owner after the crash of a target that had reported requests outside its grant, until their deadline had passed; before the bound by the deadline, until the target was back or the front was restarted.

Cause: the report of a target whose process is gone still counted as busy.

Fix: a target that is lost by refusing connections runs nothing, as is held of its attempts already.

Test failed before: [('s', HashRange(7, 8))] == []. Run after: routing's tests pass (59).

--- a/packages/routing/peridot_routing/watcher.py
+++ b/packages/routing/peridot_routing/watcher.py
@@ -187,6 +187,9 @@
         self.log.write("target_silent", target=target.name, reason=outcome.reason)
         if outcome.refused:
             self.expire_attempts(target.name)
+            for (_, name), state in self.grants.items():
+                if name == target.name:
+                    state.running_outside = ()
         if outcome.refused or target.checks_grants:
             self.cancel_attempts(target.name)
         self.on_change()
--- a/packages/routing/tests/test_watcher.py
+++ b/packages/routing/tests/test_watcher.py
@@ -7,11 +7,11 @@
 
 from peridot_placement.clock import boot_time
 from peridot_placement.decisions import MemoryDecisionLog
-from peridot_placement.grants import GrantAccepted, TargetClient
+from peridot_placement.grants import GrantAccepted, GrantFailed, TargetClient
 from peridot_placement.permits import LocalTables
 from peridot_placement.slices import HashRange
 from peridot_resources.catalog import Catalog
-from peridot_routing.watcher import TargetWatcher
+from peridot_routing.watcher import TargetHealth, TargetWatcher
 
 TARGET = TARGETS["t1"]
 ALL_HASHES = HashRange(0, 2**64)
@@ -101,3 +101,19 @@
     assert busy(watcher) == [("s", HashRange(7, 8))]
     state.last_response_at = boot_time() - POLICY.deadline_ms / 1000 - 0.1
     assert busy(watcher) == []
+
+
+# Guards against slices without an owner after a crash: the process that ran the
+# requests is gone.
+def test_requests_reported_by_a_target_that_refuses_connections_are_not_busy():
+    watcher = watcher_after_a_grant(running_outside=(7,))
+    start_move(watcher)
+    health = TargetHealth(boot_time())
+    refusal = GrantFailed(True, "connection refused")
+    (state,) = watcher.grants.values()
+    state.expires_at = boot_time() - 0.01
+    watcher._update_health(TARGET, health, refusal)
+    assert busy(watcher) == [("s", HashRange(7, 8))]
+    watcher._update_health(TARGET, health, refusal)
+    assert health.lost
+    assert busy(watcher) == []
