--- a/packages/daemon/tests/test_links.py
+++ b/packages/daemon/tests/test_links.py
@@ -10,7 +10,6 @@
 from peridot_daemon.peers import PeerServer
 from peridot_daemon.tls import PeerTls
 from peridot_fakes.fleet import free_ports
-from peridot_resources.catalog import Catalog, RoutingPolicy, Service
 from peridot_routing.outcomes import Answered
 from peridot_wire import peridot_pb2 as pb
 from peridot_wire.peridot_grpc import PeerBase
@@ -114,13 +113,6 @@
     asyncio.run(scenario())
 
 
-POLICY = RoutingPolicy(
-    "p", 2000, 1000, 5, (), 0.1, 200, 0.5, 1000, 1000, 60, 1.0, 1.0, 1.0
-)
-SERVICE = Service("s", "/s/", "Key", None, True, frozenset({"GET"}), (), "p")
-CATALOG = Catalog(1, {"s": SERVICE}, {}, {"p": POLICY})
-
-
 class CopyingPeer(EndlessPeer):
     """Peer that repeats its reply before that to the next request."""
 
