--- a/packages/fakes/tests/test_adapter.py
+++ b/packages/fakes/tests/test_adapter.py
@@ -1,6 +1,7 @@
 """Tests of the platform adapter: formats, headers, the store and grants."""
 
 import asyncio
+import socket
 from contextlib import suppress
 
 import orjson
@@ -10,6 +11,7 @@
 from peridot_fakes.objectapi import ObjectApi
 from peridot_fakes.site import FILES_ROUTE, ORDERS_ROUTE, make_configuration
 from peridot_gateway.dialect import InvalidObject
+from peridot_gateway.sockets import RESET_ON_CLOSE
 from peridot_objects.outcomes import (
     Conflict,
     Listing,
@@ -312,12 +314,21 @@
         # Connection of each call, by its number.
         self.used: list[int] = []
         self.echoed: list[str | None] = []
-        # Sent before the response to a release, as a late copy would come.
+        # Sent before the response to a call, as a late copy would come.
         self.copy = b""
+        self.copy_path = "/-/release"
+        self.accepts_connections = True
         # Status of the first response, and whether a copy of it comes late.
         self.first_status = 200
 
     async def serve(self, reader, writer) -> None:
+        if not self.accepts_connections:
+            # Closing resets the connection.
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+            writer.close()
+            return
         self.connections += 1
         connection = self.connections
         first_response = b""
@@ -329,7 +340,7 @@
                 self.paths.append(head.split()[1].decode())
                 self.ids.append(read_header(head, "X-Attempt-Id"))
                 self.used.append(connection)
-                if self.copy and self.paths[-1] == "/-/release":
+                if self.copy and self.paths[-1] == self.copy_path:
                     if self.used.index(connection) < len(self.used) - 1:
                         writer.write(self.copy)
                     await asyncio.sleep(0.05)
@@ -516,3 +527,45 @@
             await store.close()
 
     asyncio.run(run())
+
+
+# Guards against keys without an owner until their lease ends: a server with as many
+# connections as it accepts resets that of the release.
+def test_a_release_at_a_server_that_resets_new_connections_uses_a_kept_one():
+    async def scenario(fake, lease_client, target):
+        grant = Grant(ALL_KEYS, 1, 2.5)
+        assert await lease_client.grant(target, grant, 1.0) == Granted()
+        fake.accepts_connections = False
+        released = await lease_client.release(target, ALL_KEYS, 1, 1.0)
+        assert released == Released("token")
+        assert fake.used == [1, 1]
+
+    run_with_lease_target(scenario)
+
+
+# Guards against the copy of a response to a grant there: it has no handover token.
+def test_a_response_without_a_token_on_a_kept_connection_is_not_that_to_a_release():
+    async def scenario(fake, lease_client, target):
+        grant = Grant(ALL_KEYS, 1, 2.5)
+        assert await lease_client.grant(target, grant, 1.0) == Granted()
+        fake.accepts_connections = False
+        fake.copy = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+        released = await lease_client.release(target, ALL_KEYS, 1, 1.0)
+        assert released == Unanswered("response to another call")
+
+    run_with_lease_target(scenario)
+
+
+# Guards against the copy of a response to a release on a kept connection.
+def test_a_response_with_a_token_is_not_that_to_a_grant():
+    async def scenario(fake, lease_client, target):
+        grant = Grant(ALL_KEYS, 1, 2.5)
+        assert await lease_client.grant(target, grant, 1.0) == Granted()
+        fake.accepts_connections = False
+        await lease_client.release(target, ALL_KEYS, 1, 1.0)
+        fake.copy = b"HTTP/1.1 200 OK\r\nX-Handover: t\r\nContent-Length: 0\r\n\r\n"
+        fake.copy_path = "/-/grant"
+        outcome = await lease_client.grant(target, grant, 1.0)
+        assert outcome == Unanswered("response to another call")
+
+    run_with_lease_target(scenario)
