Send a request to the same target again on a new connection only

Effect: a late copy of a refusal has the id of its attempt.

Cause: the id tells attempts of callers apart, not two sendings of one.

Fix: no earlier response can arrive on a connection that is new. Sending again to the same target is rare: owners of keys only.

The test failed before: one connection in place of two.

--- a/packages/gateway/peridot_gateway/sender.py
+++ b/packages/gateway/peridot_gateway/sender.py
@@ -46,6 +46,8 @@
 # Even targets that forget idle connections early keep them for this time. Requests
 # that may run once use no others: after a reset it is unknown whether they ran.
 SAFE_IDLE_S = 0.2
+# No connection has been idle for less than this time.
+NEW_CONNECTION_IDLE_S = -1.0
 # Idle connections to a target that are kept: at most this number, and this share of
 # what the target accepts from this VM.
 MAX_IDLE_CONNECTIONS = 4
@@ -206,6 +208,9 @@
         connections = self._get_connections(target)
         began = monotonic()
         max_idle_s = connections.max_idle_s(request.route.idempotent, began)
+        if target.name in request.tried_targets:
+            # A late copy of the last response has the id of this attempt as well.
+            max_idle_s = NEW_CONNECTION_IDLE_S
         use = ConnectionUse(max_idle_s)
         with self.estimates.track_attempt(target.name, request.route) as estimate:
             ahead = estimate.total_in_flight(began)
--- a/packages/gateway/tests/test_connections.py
+++ b/packages/gateway/tests/test_connections.py
@@ -379,3 +379,39 @@
         assert (loop.time() - began < 0.25) == may_give_up
 
     run_with_target(scenario)
+
+
+# Guards against a late copy of a target's refusal of the same attempt, which has its id
+# too: a request that runs would count as not run, and would be sent again.
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_a_request_is_sent_to_a_target_again_on_a_new_connection(
+    idempotent, make_request, make_target
+):
+    connections = 0
+
+    async def serve(reader, writer):
+        nonlocal connections
+        connections += 1
+        try:
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(RESPONSE)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            writer.close()
+
+    async def scenario():
+        (port,) = free_ports(1)
+        sender = Sender(SignedDialect(), Estimates(), MemoryDecisionLog())
+        target = replace(make_target("t"), address=f"127.0.0.1:{port}")
+        request = make_request(idempotent)
+        async with await asyncio.start_server(serve, "127.0.0.1", port):
+            await sender.attempt(request, target, REMAINING_S)
+            request.tried_targets.add("t")
+            await sender.attempt(request, target, REMAINING_S)
+            assert connections == 2
+            other = replace(make_request(idempotent), request_id="id-2")
+            await sender.attempt(other, target, REMAINING_S)
+            assert connections == 2
+            await sender.close()
+
+    asyncio.run(scenario())
