--- a/packages/gateway/peridot_gateway/requests.py
+++ b/packages/gateway/peridot_gateway/requests.py
@@ -41,6 +41,8 @@
     misdirected_count: int = 0
     # Targets that may have run the request, and when it was first sent to each (s).
     possible_runs: dict[str, float] = field(default_factory=dict)
+    # Those of them that refused the key later, so that their lease had ended.
+    lost_leases: set[str] = field(default_factory=set)
     # Whether the caller has closed its connection.
     abandoned: bool = False
 
--- a/packages/gateway/peridot_gateway/router.py
+++ b/packages/gateway/peridot_gateway/router.py
@@ -117,7 +117,9 @@
         if sent_at is None or not request.service.divided_by_key:
             return False
         service = request.service.name
-        if not self.parts.owners.has_moved_since(service, request.key, sent_at):
+        if target.name not in request.lost_leases and (
+            not self.parts.owners.has_moved_since(service, request.key, sent_at)
+        ):
             return False
         self.parts.log.write(
             "retry_refused",
@@ -251,6 +253,8 @@
             request.possible_runs.setdefault(target.name, sent_at)
         if isinstance(outcome, NotRun) and outcome.reason is Reason.NOT_OWNER:
             request.misdirected_count += 1
+            if target.name in request.possible_runs:
+                request.lost_leases.add(target.name)
             answered_by = (
                 result.response_headers.answered_by if result.response_headers else None
             )
--- a/packages/gateway/tests/test_router.py
+++ b/packages/gateway/tests/test_router.py
@@ -307,3 +307,14 @@
     move_key_during_first_attempt(sender, owners, ["", "q"])
     assert asyncio.run(router.handle(make_request(key=5))) == OK.outcome
     assert sender.sent == ["p", "q"]
+
+
+# Guards against a return to a target by an outdated table: its own refusal says that
+# the lease under which it may have run the request has ended.
+def test_a_request_does_not_return_to_a_target_that_may_have_run_and_then_refused_it(
+    route_with, make_request, owned_by
+):
+    router, sender = route_with([LOST, NOT_OWNER, OK], owners=owned_by("p"))
+    outcome = asyncio.run(router.handle(make_request(key=5)))
+    assert sender.sent == ["p", "p"]
+    assert isinstance(outcome, Unknown)
