Count keys as moved if an update may hide that they were away

A VM gets net changes of the owner tables. An update of another term, or of four or more changes after 0.3 s or more, may hide one: a move away and back takes as much.

The two new tests of the owners failed before (not moved, in all three cases).

--- a/packages/gateway/peridot_gateway/owners.py
+++ b/packages/gateway/peridot_gateway/owners.py
@@ -9,8 +9,14 @@
 from peridot_ownership.ranges import KEY_SPACE
 from peridot_placement.signals import ChangeSignal
 
-# Number of replaced tables that are kept, to see whether a key has moved since a time.
+# Replaced tables are kept for this long and up to this number, to see whether a key has
+# moved since a time. Few requests last longer.
+KEPT_REPLACED_S = 10.0
 KEPT_REPLACED_TABLES = 256
+# A move away and back takes this many changes of the tables and at least this long (s);
+# one update that contains as much shows only their result.
+HIDDEN_MOVES_CHANGES = 4
+HIDDEN_MOVES_S = 0.3
 
 
 class PatchMismatch(ConnectionError):
@@ -78,6 +84,8 @@
 
     tables: dict[str, OwnerTable]
     replaced_at: float
+    # Whether keys may have moved away and back until then.
+    may_hide_moves: bool
 
 
 @dataclass
@@ -91,7 +99,9 @@
     clock: Callable[[], float] = monotonic
     # Since when (s) ranges have had no owner, by service and start of the range.
     unowned_since: dict[tuple[str, int], float] = field(default_factory=dict)
-    # The last tables before the present ones, oldest first.
+    # When the present tables came (s).
+    updated_at: float = float("-inf")
+    # The last tables before them, oldest first.
     replaced: deque[ReplacedTables] = field(
         default_factory=lambda: deque(maxlen=KEPT_REPLACED_TABLES)
     )
@@ -107,8 +117,9 @@
             for start, owner in zip(table.starts, table.owners, strict=True)
             if not owner
         }
-        self.replaced.append(ReplacedTables(self.tables, now))
+        self._keep_replaced(term, sequence, now)
         self.term, self.sequence, self.tables = term, sequence, tables
+        self.updated_at = now
         self.changed.notify()
         return True
 
@@ -125,7 +136,9 @@
                 f"has {self.term}.{self.sequence}, got {term}.{patched_sequence}"
             )
         tables = {
-            service: patch_table(table, patches.get(service, ()))
+            service: patch_table(table, patches[service])
+            if patches.get(service)
+            else table
             for service, table in self.tables.items()
         }
         self.update(term, sequence, tables)
@@ -135,6 +148,16 @@
         table = self.tables.get(service)
         return table.find(key) if table is not None else ""
 
+    def _keep_replaced(self, term: int, sequence: int, now: float) -> None:
+        """Keep the tables that an update replaces; forget the oldest ones."""
+        may_hide_moves = term != self.term or (
+            sequence - self.sequence >= HIDDEN_MOVES_CHANGES
+            and now - self.updated_at >= HIDDEN_MOVES_S
+        )
+        self.replaced.append(ReplacedTables(self.tables, now, may_hide_moves))
+        while self.replaced[0].replaced_at < now - KEPT_REPLACED_S:
+            self.replaced.popleft()
+
     def has_moved_since(self, service: str, key: int, since: float) -> bool:
         """Return whether a key may have had other owners, or none, since a time (s)."""
         owner = self.find(service, key)
@@ -142,9 +165,10 @@
             if item.replaced_at < since:
                 return False
             table = item.tables.get(service)
-            if table is None or table.find(key) != owner:
+            if item.may_hide_moves or table is None or table.find(key) != owner:
                 return True
-        return len(self.replaced) == KEPT_REPLACED_TABLES
+        is_full = len(self.replaced) == KEPT_REPLACED_TABLES
+        return is_full or since < self.clock() - KEPT_REPLACED_S
 
     def unowned_s(self, service: str, key: int) -> float:
         """Return for how long a key has had no owner (s); 0 if it has one."""
--- a/packages/gateway/tests/test_owner_patches.py
+++ b/packages/gateway/tests/test_owner_patches.py
@@ -12,6 +12,7 @@
     serialize_tables,
 )
 from peridot_gateway.owners import (
+    KEPT_REPLACED_S,
     KEPT_REPLACED_TABLES,
     Owners,
     OwnerTable,
@@ -83,3 +84,31 @@
         owners.update(1, sequence + 1, {"s": OwnerTable((0,), ("a",))})
     assert owners.has_moved_since("s", 7, 9.0)
     assert not owners.has_moved_since("s", 7, 10.1)
+
+
+# Guards against moves away and back that a VM doesn't see, because it got no tables in
+# between or because the placer changed.
+def test_a_key_may_have_moved_in_one_update_of_many_changes_or_of_another_term():
+    table = {"s": OwnerTable((0,), ("a",))}
+    owners = Owners(clock=lambda: now)
+    now = 10.0
+    owners.update(1, 1, table)
+    now = 10.5
+    owners.update(1, 5, table)
+    assert owners.has_moved_since("s", 7, 10.2)
+    now = 10.6
+    owners.update(1, 9, table)
+    assert not owners.has_moved_since("s", 7, 10.55)
+    now = 10.7
+    owners.update(2, 1, table)
+    assert owners.has_moved_since("s", 7, 10.65)
+
+
+def test_a_key_counts_as_moved_beyond_the_time_of_kept_tables():
+    owners = Owners(clock=lambda: now)
+    now = 10.0
+    owners.update(1, 1, {"s": OwnerTable((0,), ("a",))})
+    now = 10.5 + KEPT_REPLACED_S
+    owners.update(1, 2, {"s": OwnerTable((0,), ("a",))})
+    assert owners.has_moved_since("s", 7, 10.1)
+    assert not owners.has_moved_since("s", 7, 11.0)
