Test that a successor takes over what is uncertain in the record

Change: a test in virtual time: keys are moved, the move is lost by a restore, the placer that acquires the term is lost within its wait; the next one must wait as well.

--- a/packages/ownership/tests/test_restores.py
+++ b/packages/ownership/tests/test_restores.py
@@ -186,6 +186,29 @@
     run(check())
 
 
+# Rule: a successor takes over what is uncertain in the record. It would grant keys to
+# owners from whom a lost term has moved them.
+def test_the_successor_of_a_placer_with_uncertain_owners_waits_as_well():
+    async def check():
+        site = PlacerSite()
+        async with site.run_placer("vm1", "a", NO_EARLIER_LEASES) as first:
+            await wait_until_granted(site, first, {"a"})
+            await first.placer.record_writer.write()
+            copy = site.store.take_copy()
+            first.view.show("b")
+            await wait_until_granted(site, first, {"b"})
+        await site.store.restore(copy)
+        async with site.run_placer("vm2", "a b", LONG_LEASES) as second:
+            assert second.owners() == {"a"}
+        async with site.run_placer("vm3", "a b", LONG_LEASES) as third:
+            await asyncio.sleep(LEASE_S)
+            assert not site.lease_client.violations, site.lease_client.violations[:3]
+            await wait_until_granted(site, third, {"a", "b"})
+        assert not site.lease_client.violations, site.lease_client.violations[:3]
+
+    run(check())
+
+
 async def restore_while_a_grant_is_answered(site: PlacerSite, first: PlacerRun) -> None:
     """Restore the store after a grant was sent and before its answer arrives."""
     await first.placer.record_writer.write()
