Watch a target that is declared again at once

A target that was deleted and declared again within 50 ms got no further health checks and no grants from its front, so that it refused its keys once its grant had expired, until it was deleted for longer or the daemon restarted.

Its task ends when it finds the target missing from the catalog. If the target is back when the tasks are next compared with the catalog, the ended task still counted as the one that watches it. A task that has ended is replaced now. The target's health is kept, as in a deletion that its task doesn't notice.

The new test failed before: "assert [] == ['127.0.0.1:1']".

--- a/packages/routing/peridot_routing/watcher.py
+++ b/packages/routing/peridot_routing/watcher.py
@@ -97,8 +97,12 @@
             for target in self.catalog().targets.values()
             if target.data_centre == data_centre and self.is_front(target)
         }
-        for name in fronted - self.tasks.keys():
-            self.tasks[name] = group.create_task(self._watch(name))
+        for name in fronted:
+            task = self.tasks.get(name)
+            # A task ends by itself if its target was deleted, which may have been
+            # declared again since.
+            if task is None or task.done():
+                self.tasks[name] = group.create_task(self._watch(name))
         for name in self.tasks.keys() - fronted:
             self.tasks.pop(name).cancel()
             self.health.pop(name, None)
--- a/packages/routing/tests/test_watcher.py
+++ b/packages/routing/tests/test_watcher.py
@@ -117,3 +117,34 @@
     watcher._update_health(TARGET, health, refusal)
     assert health.lost
     assert busy(watcher) == []
+
+
+# Guards against a target without grants: its task may find it missing and end, although
+# the catalog has it again when the tasks are next compared with the catalog.
+def test_target_that_is_declared_again_at_once_is_watched():
+    watcher = watcher_after_a_grant()
+    probes = []
+
+    class RecordingClient(FixedClient):
+        async def grant(self, address, request):
+            probes.append(address)
+            return await super().grant(address, request)
+
+    watcher.client = RecordingClient()
+
+    async def session():
+        async with asyncio.TaskGroup() as group:
+            watcher._update_tasks(group, TARGET.data_centre)
+            await asyncio.sleep(0.01)
+            replace_targets(watcher, {})
+            watcher.tables.changed.notify()
+            await asyncio.sleep(0.01)
+            replace_targets(watcher, {"t1": TARGET})
+            probes.clear()
+            watcher._update_tasks(group, TARGET.data_centre)
+            await asyncio.sleep(0.01)
+            for task in watcher.tasks.values():
+                task.cancel()
+
+    asyncio.run(session())
+    assert probes == [TARGET.address]
