Take a refusal whose body doesn't arrive as a refusal

Callers got an unknown outcome, 504 or a request that isn't repeated, if a target refused a request with the header Not-Run and its body then stalled or broke off, although the request certainly hadn't run. A stall also used up the time of the attempt.

The body was read under the attempt's timeout, and its errors ended the attempt. It is only read so that the connection can be reused: it has 0.1 s now, and if it doesn't arrive the connection is closed and the outcome stays not-run, with the error in its detail.

The new tests of the outcome failed before: "assert <class 'peridot_routing.outcomes.Unknown'> is NotRun", with the reasons deadline (twice) and torn_answer. The one that the connection isn't reused passed before too.

--- a/packages/routing/peridot_routing/attempts.py
+++ b/packages/routing/peridot_routing/attempts.py
@@ -1,5 +1,6 @@
 """HTTP client of peridotd for targets: one attempt and its outcome."""
 
+import asyncio
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from contextvars import ContextVar
@@ -36,6 +37,8 @@
     "deadline": Reason.DEADLINE,
 }
 MIN_RETRY_AFTER_MS = 50
+# A refusal's body is only read so that its connection can be reused.
+REFUSAL_BODY_TIMEOUT_S = 0.1
 
 SendGuard = Callable[[], NotRun | None]
 send_guard: ContextVar[SendGuard | None] = ContextVar("send_guard", default=None)
@@ -159,9 +162,9 @@
 ) -> Outcome:
     not_run = response.headers.get("Not-Run")
     if not_run is not None:
-        await _read_body(response, request.policy.max_answer_bytes)
+        detail = await _drain_refusal(response, request, not_run)
         reason = NOT_RUN_REASONS.get(not_run, Reason.TARGET_REFUSED)
-        return NotRun(reason, MIN_RETRY_AFTER_MS, not_run)
+        return NotRun(reason, MIN_RETRY_AFTER_MS, detail)
     if not _has_body_framing(response, request.method):
         response.close()
         return Unknown(Reason.TORN_ANSWER, "neither Content-Length nor chunked")
@@ -174,6 +177,23 @@
     )
 
 
+async def _drain_refusal(
+    response: ClientResponse, request: RoutedRequest, not_run: str
+) -> str:
+    """Read a refusal's body to reuse its connection; return the outcome's detail.
+
+    The header alone says that the request didn't run, so a body that doesn't arrive
+    costs the connection only.
+    """
+    try:
+        async with asyncio.timeout(REFUSAL_BODY_TIMEOUT_S):
+            await _read_body(response, request.policy.max_answer_bytes)
+    except (ClientError, TimeoutError, OSError) as error:
+        response.close()
+        return f"{not_run} (body: {type(error).__name__})"
+    return not_run
+
+
 async def _read_body(response: ClientResponse, limit_bytes: int) -> bytes | None:
     """Return the whole body, or None if it exceeds the limit."""
     if (response.content_length or 0) > limit_bytes:
--- a/packages/routing/tests/test_attempts.py
+++ b/packages/routing/tests/test_attempts.py
@@ -3,6 +3,7 @@
 import asyncio
 from contextlib import asynccontextmanager, suppress
 from dataclasses import replace
+from time import monotonic
 
 import pytest
 from test_slots import POLICY, make_request
@@ -18,6 +19,7 @@
 UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\nok"
 REFUSAL = b"HTTP/1.1 503 Unavailable\r\nNot-Run: shed\r\nContent-Length: 0\r\n\r\n"
 UNFRAMED_REFUSAL = b"HTTP/1.1 503 No\r\nNot-Run: shed\r\n\r\n" + b"x" * 100_000
+STALLED_REFUSAL = b"HTTP/1.1 503 No\r\nNot-Run: not-owner\r\nContent-Length: 9\r\n\r\nx"
 LARGE = b"HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n" + b"x" * 5000
 TARGET = Target("t", "s", "", "dc", 3, 8, True, False)
 
@@ -143,6 +145,33 @@
     assert outcome == NotRun(Reason.SHED, 50, "shed")
 
 
+# Guards against an unknown outcome, or a deadline spent on waiting, for a request that
+# the target's headers say didn't run.
+@pytest.mark.parametrize("close", [False, True])
+def test_refusal_whose_body_does_not_end_is_not_run(close):
+    raw = RawTarget(STALLED_REFUSAL, close=close)
+    request = make_non_idempotent_request(deadline=monotonic() + 1.0)
+    outcome = attempt(raw, request)
+    assert type(outcome) is NotRun
+    assert outcome.reason is Reason.NOT_OWNER
+    assert request.remaining_s() > 0.3
+
+
+# Guards against an unknown outcome if the deadline passes while the body is awaited.
+def test_refusal_whose_body_outlasts_the_deadline_is_not_run():
+    request = make_non_idempotent_request(deadline=monotonic() + 0.05)
+    outcome = attempt(RawTarget(STALLED_REFUSAL), request)
+    assert type(outcome) is NotRun
+    assert outcome.reason is Reason.NOT_OWNER
+
+
+# Guards against the rest of a refusal being read as the response to the next request.
+def test_connection_of_a_refusal_whose_body_stalls_is_not_reused():
+    raw = RawTarget(STALLED_REFUSAL)
+    attempt(raw, times=2)
+    assert raw.connections == 2
+
+
 # Guards against a late response that is read as the response to the next request on the
 # same connection.
 def test_response_after_the_deadline_is_unknown_and_not_given_to_the_next_request():
