Try the peers of the settings while no reader VM is known

A VM that started while the platform's VM list and store were away stayed without a configuration, and so refused all requests, although a daemon named in its settings' peers had one.

Without a VM list there are no reader VMs, and the source then watched the store only. It goes on to the peers now if the store gives nothing. The store comes first in this case: peers that are starting too would send nothing, and each would delay the start by the 3 s of their timeout. VMs that know reader VMs try peers before the store, as before.

--- a/packages/daemon/peridot_daemon/sources.py
+++ b/packages/daemon/peridot_daemon/sources.py
@@ -75,21 +75,31 @@
             backoff_s = min(backoff_s * 2, MAX_BACKOFF_S)
 
     async def _follow_source(self) -> None:
-        """Follow a reader VM; watch the store if this VM is one or none responds."""
+        """Follow a reader VM; watch the store if this VM is one or none responds.
+
+        If no reader VM is known, the store comes first.
+        """
         readers = self.readers()
         if not readers:
             await self._read_vm_list()
             readers = self.readers()
-        if not readers or self.local_vm in readers:
+        if self.local_vm in readers:
             await self._watch_store()
             return
+        if not readers:
+            # Peers that are starting too would send nothing until they time out.
+            confirmed_before = self.replica.confirmed_at
+            await self._watch_store()
+            if self.replica.confirmed_at > confirmed_before:
+                return
         for reader in readers:
             if await self._sync_from(reader.address):
                 return
         for address in self.peers:
             if await self._sync_from(address):
                 return
-        await self._watch_store()
+        if readers:
+            await self._watch_store()
 
     async def _watch_store(self) -> None:
         """Watch the store until it fails or this VM is no longer a reader VM."""
--- a/packages/daemon/tests/test_links.py
+++ b/packages/daemon/tests/test_links.py
@@ -36,6 +36,19 @@
         await self.Sync(stream)
 
 
+class UpdatingPeer(EndlessPeer):
+    """A peer that sends updates, then nothing."""
+
+    def __init__(self, *updates):
+        self.updates = updates
+
+    async def Sync(self, stream):
+        await stream.recv_message()
+        for update in self.updates:
+            await stream.send_message(update)
+        await asyncio.Event().wait()
+
+
 class NoTls(PeerTls):
     """TLS that is off, without settings."""
 
