Go on if a peer lists a VM in an unknown state

A daemon that streams from a reader VM of a later version, whose VM list may have more states, restarted its source at each update with that VM (part=source in the log), so it never got a VM list from there and lost the stream each time.

The ValueError of the unknown state isn't among the errors that end a stream. Such a VM is left out of the list now, as only live ones count, and logged as vm_ignored.

The new test failed before: "ValueError: 'resting' is not a valid VmState".

--- a/packages/daemon/peridot_daemon/messages.py
+++ b/packages/daemon/peridot_daemon/messages.py
@@ -158,13 +158,12 @@
 
 
 def parse_vm(message: pb.VmRecord) -> VmRecord:
-    """Return the VM in a message."""
-    return VmRecord(
-        message.name,
-        message.data_centre,
-        message.peer_address,
-        VmState(message.state),
-    )
+    """Return the VM in a message; raise InvalidMessage for an unknown state."""
+    try:
+        state = VmState(message.state)
+    except ValueError as error:
+        raise InvalidMessage(f"unknown state {message.state!r}") from error
+    return VmRecord(message.name, message.data_centre, message.peer_address, state)
 
 
 def _add_headers(message, headers: tuple[tuple[str, str], ...]) -> None:
--- a/packages/daemon/peridot_daemon/sources.py
+++ b/packages/daemon/peridot_daemon/sources.py
@@ -5,16 +5,16 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 
 from peridot_daemon.links import LINK_ERRORS, open_channel, open_stream
-from peridot_daemon.messages import parse_change, parse_vm
+from peridot_daemon.messages import InvalidMessage, parse_change, parse_vm
 from peridot_daemon.metrics import ControlTraffic
 from peridot_daemon.replica import WATCHED_KINDS, Replica
 from peridot_daemon.tls import PeerTls
 from peridot_objects.objects import ObjectStore
 from peridot_objects.outcomes import Listing, RevisionTooOld, WatchBatch
-from peridot_objects.vms import VmList, VmListing
+from peridot_objects.vms import VmList, VmListing, VmRecord
 from peridot_placement.decisions import DecisionLog
 from peridot_placement.hashing import rank_by_rendezvous
 from peridot_routing.router import Vm
@@ -177,4 +177,15 @@
         changes = [parse_change(change) for change in update.changes]
         self.replica.apply_changes(update.revision, changes, update.age_ms / 1000)
         if update.vms:
-            self.replica.update_vms(tuple(parse_vm(vm) for vm in update.vms))
+            self.replica.update_vms(tuple(self._parse_known_vms(update.vms)))
+
+    def _parse_known_vms(self, messages: Iterable[pb.VmRecord]) -> Iterator[VmRecord]:
+        """Yield the VMs in messages but those whose state this version doesn't know.
+
+        Only live VMs get requests, and a state that isn't known isn't that.
+        """
+        for message in messages:
+            try:
+                yield parse_vm(message)
+            except InvalidMessage:
+                self.log.write("vm_ignored", vm=message.name, state=message.state)
--- a/packages/daemon/tests/test_sources.py
+++ b/packages/daemon/tests/test_sources.py
@@ -77,6 +77,19 @@
     assert set(replica.catalog.policies) == {"p"}
 
 
+# Guards against a source that starts again and again: a later version of the peer may
+# know more states.
+def test_vm_in_an_unknown_state_is_left_out_of_the_vm_list():
+    vms = [
+        pb.VmRecord(name="vm2", data_centre="dc", state="resting"),
+        pb.VmRecord(name="vm3", data_centre="dc", state="live"),
+    ]
+    peer = UpdatingPeer(make_update(vms=vms))
+    replica = follow_until_loaded(peer, True, timeout_s=2.0)
+    assert [vm.name for vm in replica.vms] == ["vm3"]
+    assert "event=vm_ignored vm=vm2 state=resting" in replica.log.lines
+
+
 # Guards against a start that is delayed by peers which have no configuration either.
 def test_store_is_watched_without_waiting_for_peers_while_the_vm_list_is_away():
     replica = follow_until_loaded(UpdatingPeer(), False, timeout_s=1.0)
