Let a VM that the VM list lacks store the first term

If there was no stored term, a VM that the platform's VM list didn't have yet restarted its elector at each attempt (part=keeper in the log), and with no listed VM running, no placer was elected and no key was assigned.

The wait before the first write goes by the VM's rank in the list, and looking it up failed. A VM that isn't listed ranks after all that are.

The new test failed before: "ValueError: 'vm4' is not in list".

--- a/packages/placement/peridot_placement/keeper.py
+++ b/packages/placement/peridot_placement/keeper.py
@@ -214,8 +214,11 @@
         if not isinstance(found, Missing):
             return
         names = rank_by_rendezvous(self.vm_names(), f"term/{self.data_centre}")
-        if names and names[0] != self.local_instance.vm:
-            await asyncio.sleep(0.1 * (1 + names.index(self.local_instance.vm)))
+        vm = self.local_instance.vm
+        if names and names[0] != vm:
+            # The list lags, so it may lack this VM.
+            rank = names.index(vm) if vm in names else len(names)
+            await asyncio.sleep(0.1 * (1 + rank))
         listing = await self.store.list((Kind.ASSIGNMENT,))
         if isinstance(listing, Listing):
             record = self._first_record(listing)
--- a/packages/placement/tests/test_placer.py
+++ b/packages/placement/tests/test_placer.py
@@ -193,6 +193,27 @@
     run(scenario)
 
 
+def test_first_term_is_stored_by_a_vm_that_the_vm_list_lacks():
+    """Guard against an elector that ends in an error until the VM list has its VM."""
+
+    async def scenario(cluster):
+        elector = cluster.elector("vm4")
+        assert "vm4" not in elector.vm_names()
+        task = asyncio.create_task(elector.run())
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                while elector.record is None:
+                    await asyncio.wait((task,), timeout=0.01)
+                    if task.done():
+                        task.result()
+        finally:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+        assert elector.record.holder.vm == "vm4"
+
+    run(scenario)
+
+
 def test_slices_leave_a_lost_target_only_when_no_vm_has_requests_there():
     """Guard against two targets serving a key while the old one still runs requests."""
 
