Drop deleted homes and assignments from the replica

A VM went on to route keys by a Home or Assignment that had been deleted from the store, while VMs that started later refused the same keys as without a home, until its daemon restarted or the object was stored again.

The replica recorded the deletion of such an object but kept the table parsed from it. The table goes with the object now, for deletions heard by a watch and for objects missing from a listing. Deletions that are older than the stored version are ignored, as for other objects.

--- a/packages/daemon/peridot_daemon/replica.py
+++ b/packages/daemon/peridot_daemon/replica.py
@@ -153,8 +153,9 @@
 
     def _apply_placement(self, change: Change) -> None:
         if isinstance(change, DeletedObject):
-            return
-        if change.kind == Kind.HOME:
+            tables = {Kind.HOME: self.homes, Kind.ASSIGNMENT: self.assignments}
+            tables.get(change.kind, {}).pop(change.name, None)
+        elif change.kind == Kind.HOME:
             self.homes[change.name] = parse_home(change.value)
         elif change.kind == Kind.ASSIGNMENT:
             self.assignments[change.name] = parse_assignment(change.value)
--- a/packages/daemon/tests/test_replica.py
+++ b/packages/daemon/tests/test_replica.py
@@ -1,11 +1,20 @@
 """Test that no order of updates makes the replica go back to older versions."""
 
+from array import array
+
 import orjson
+import pytest
 from hypothesis import given, settings, strategies as st
 
 from peridot_daemon.replica import Replica
 from peridot_objects.outcomes import DeletedObject, Listing, StoredObject
+from peridot_placement.assignments import (
+    Assignment,
+    serialize_assignment,
+    serialize_home,
+)
 from peridot_placement.decisions import MemoryDecisionLog
+from peridot_placement.slices import HomeTable, SliceTable
 from peridot_resources.manifests import parse_manifests
 from peridot_resources.models import dump_spec
 
@@ -50,6 +59,32 @@
     assert replica.catalog.revision == 5
 
 
+# Guards against VMs that route keys by tables which are no longer stored, while those
+# that started later don't.
+@pytest.mark.parametrize("as_listing", [True, False])
+def test_deleted_home_and_assignment_are_dropped(as_listing):
+    table = SliceTable(["t"], array("Q", [0]), array("i", [0]), array("i", [-1]))
+    assignment = Assignment("s", "dc", 1, 1, "w", table)
+    home = HomeTable((0,), ("dc",))
+    stored = (
+        StoredObject("Home", "s", 1, serialize_home(home)),
+        StoredObject("Assignment", "s.dc", 2, serialize_assignment(assignment)),
+    )
+    replica = Replica(MemoryDecisionLog())
+    replica.apply_changes(2, stored)
+    assert replica.homes == {"s": home}
+    assert replica.assignments == {"s.dc": assignment}
+    if as_listing:
+        replica.apply_listing(Listing(4, ()))
+    else:
+        deletions = [DeletedObject(item.kind, item.name, 3) for item in stored]
+        replica.apply_changes(4, deletions)
+    assert replica.homes == {}
+    assert replica.assignments == {}
+    replica.apply_changes(5, stored)
+    assert replica.homes == {}
+
+
 def test_invalid_object_keeps_its_last_valid_form():
     replica = Replica(MemoryDecisionLog())
     replica.apply_changes(1, (stored_policy(1, 1500),))
