Show deletions that a watch of peridotctl missed

`peridotctl watch` printed nothing of a resource that was deleted while its watch was interrupted or after the store's history had moved on, so that it looked as if the resource was still stored.

After such a failure it lists again, and printed only what is listed. It keeps the resources it has printed now and yields a deletion for each that the listing lacks, at the listing's revision; a listing older than the resource says nothing of it. Listed resources are printed again, as before.

--- a/packages/ctl/peridot_ctl/porcelain.py
+++ b/packages/ctl/peridot_ctl/porcelain.py
@@ -21,6 +21,7 @@
 from peridot_objects.outcomes import (
     Change,
     Conflict,
+    DeletedObject,
     Listing,
     Rejected,
     StoredObject,
@@ -140,20 +141,27 @@
 
 
 async def watch(store: ObjectStore, kinds: Iterable[str]) -> AsyncIterator[Change]:
-    """Yield the stored resources, then each change; list again after a failure."""
+    """Yield the stored resources, then each change; list again after a failure.
+
+    Deletions that no watch has shown are yielded after the next listing, whose
+    revision they get.
+    """
     kinds = tuple(kinds)
     revision = -1
+    known: dict[tuple[str, str], StoredObject] = {}
     while True:
         if revision < 0:
             listing = await store.list(kinds)
             if isinstance(listing, Listing):
-                for item in listing.objects:
-                    yield item
+                for change in (*listing.objects, *_find_deletions(known, listing)):
+                    _record_change(known, change)
+                    yield change
                 revision = listing.revision
         else:
             batch = await store.watch(kinds, revision, WATCH_TIMEOUT_S)
             if isinstance(batch, WatchBatch):
                 for change in batch.changes:
+                    _record_change(known, change)
                     yield change
                 revision = batch.revision
                 continue
@@ -264,6 +272,26 @@
     return OutcomeUnknown(kind, name, reason)
 
 
+def _find_deletions(
+    known: dict[tuple[str, str], StoredObject], listing: Listing
+) -> list[DeletedObject]:
+    """Return deletions of the known resources that a listing lacks."""
+    listed = {(item.kind, item.name) for item in listing.objects}
+    return [
+        DeletedObject(item.kind, item.name, listing.revision)
+        for key, item in known.items()
+        if key not in listed and item.version <= listing.revision
+    ]
+
+
+def _record_change(known: dict[tuple[str, str], StoredObject], change: Change) -> None:
+    """Apply a change to the known resources."""
+    if isinstance(change, StoredObject):
+        known[change.kind, change.name] = change
+    else:
+        known.pop((change.kind, change.name), None)
+
+
 def is_same_json(first: bytes, second: bytes) -> bool:
     """Return whether two JSON texts have the same value."""
     return orjson.loads(first) == orjson.loads(second)
--- a/packages/ctl/tests/test_porcelain.py
+++ b/packages/ctl/tests/test_porcelain.py
@@ -1,6 +1,7 @@
 """Test the operators' actions, also on conflicts and failures of the store."""
 
 import asyncio
+import contextlib
 
 import orjson
 import pytest
@@ -8,7 +9,12 @@
 from peridot_ctl import porcelain
 from peridot_ctl.errors import Applied, Conflicted, Failed, OutcomeUnknown
 from peridot_objects.objects import MemoryObjectStore
-from peridot_objects.outcomes import StoredObject, Written
+from peridot_objects.outcomes import (
+    DeletedObject,
+    RevisionTooOld,
+    StoredObject,
+    Written,
+)
 from peridot_resources.errors import InvalidManifests
 
 POLICY = '{"kind": "RoutingPolicy", "name": "p", "spec": {"deadlineMs": %d}}'
@@ -158,3 +164,35 @@
         return await porcelain.wait_in_force(store, 0.3)
 
     assert run(scenario()) == ["dc-a/vm-2 at 0"]
+
+
+class ForgetfulStore(MemoryObjectStore):
+    """A store whose history is lost before the first watch, after deletions."""
+
+    deletions = ()
+
+    async def watch(self, kinds, since, timeout_s):
+        deletions, self.deletions = self.deletions, ()
+        for kind, name in deletions:
+            await self.delete(kind, name, None)
+        return RevisionTooOld() if deletions else await super().watch(kinds, since, 0.1)
+
+
+# Guards against changes that lack a deletion: a watch may fail and list again.
+def test_watch_shows_deletions_that_it_missed_once_it_lists_again(files, monkeypatch):
+    monkeypatch.setattr(porcelain, "POLL_PERIOD_S", 0.0)
+
+    async def scenario():
+        store = ForgetfulStore()
+        await porcelain.apply(store, files(p=POLICY % 2000, s=SERVICE))
+        store.deletions = (("Service", "s"),)
+        changes = []
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(0.5):
+                async for change in porcelain.watch(
+                    store, ["RoutingPolicy", "Service"]
+                ):
+                    changes.append(change)
+        return [change for change in changes if isinstance(change, DeletedObject)]
+
+    assert run(scenario()) == [DeletedObject("Service", "s", 3)]
