Count a data centre without a status as not in force

Scripts that wait for it went on too early.

Only the data centres with a status object were looked at. Those that a target is declared in are expected to have one now, and `--wait` names the ones that don't. A data centre whose VMs have no target of their own can't be told from the store and is still passed over.

The new test failed before: "assert ([], 'in force') == (['dc-b has w...], 'accepted')".

--- a/packages/ctl/peridot_ctl/porcelain.py
+++ b/packages/ctl/peridot_ctl/porcelain.py
@@ -59,6 +59,8 @@
 
     accepted_revision: int
     data_centres: tuple[DataCentreView, ...]
+    # Data centres with targets that have stored no status.
+    without_status: tuple[str, ...] = ()
 
     def describe(self, item: StoredObject) -> str:
         """Return a resource's status, such as "in force, live, 12 slices".
@@ -68,21 +70,27 @@
         revisions = [view.status["revision_in_force"] for view in self.data_centres]
         if not revisions:
             return "unknown"
-        in_force = "in force" if min(revisions) >= item.version else "accepted"
+        everywhere = min(revisions) >= item.version and not self.without_status
+        in_force = "in force" if everywhere else "accepted"
         for view in self.data_centres:
             target = view.status["targets"].get(item.name)
             if item.kind == Kind.TARGET and target is not None:
                 return f"{in_force}, {target['state']}, {target['owned_slices']} slices"
         return in_force
 
-    def outdated_vms(self, revision: int) -> list[str]:
-        """Return the VMs whose revision in force is older than a revision."""
-        return [
+    def outdated(self, revision: int) -> list[str]:
+        """Return the VMs whose revision in force is older than a revision.
+
+        Data centres without a status are among them, as theirs isn't known.
+        """
+        outdated_vms = [
             f"{view.name}/{vm} at {vm_revision}"
             for view in self.data_centres
             for vm, vm_revision in view.status["vm_revisions"].items()
             if vm_revision < revision
         ]
+        silent = [f"{name} has written no status" for name in self.without_status]
+        return outdated_vms + silent
 
 
 def validate(files: Iterable[Path]) -> list[Manifest]:
@@ -182,14 +190,18 @@
         for item in sorted(listing.objects, key=lambda item: item.name)
         if item.kind == Kind.STATUS
     )
-    return StatusView(accepted, views)
+    expected = {
+        _find_data_centre(item) for item in listing.objects if item.kind == Kind.TARGET
+    }
+    missing = expected - {view.name for view in views} - {""}
+    return StatusView(accepted, views, tuple(sorted(missing)))
 
 
 async def wait_in_force(store: ObjectStore, timeout_s: float) -> list[str]:
     """Wait until the accepted revision is in force; return what keeps it from that.
 
     Returns an empty list on success, otherwise the VMs that are behind after
-    `timeout_s`, or why the status is unknown.
+    `timeout_s` and the data centres without a status, or why the status is unknown.
     """
     deadline = monotonic() + timeout_s
     awaited_revision = None
@@ -197,7 +209,7 @@
         view = await status(store)
         if isinstance(view, StatusView):
             awaited_revision = awaited_revision or view.accepted_revision
-            behind = view.outdated_vms(awaited_revision)
+            behind = view.outdated(awaited_revision)
             if view.data_centres and not behind:
                 return []
         else:
@@ -292,6 +304,17 @@
         known.pop((change.kind, change.name), None)
 
 
+def _find_data_centre(target: StoredObject) -> str:
+    """Return the data centre of a stored target, "" if the target is invalid.
+
+    Daemons report invalid objects by a condition of their own.
+    """
+    try:
+        return str(orjson.loads(target.value)["spec"]["dataCentre"])
+    except (ValueError, KeyError, TypeError):
+        return ""
+
+
 def is_same_json(first: bytes, second: bytes) -> bool:
     """Return whether two JSON texts have the same value."""
     return orjson.loads(first) == orjson.loads(second)
--- a/packages/ctl/tests/test_porcelain.py
+++ b/packages/ctl/tests/test_porcelain.py
@@ -196,3 +196,28 @@
         return [change for change in changes if isinstance(change, DeletedObject)]
 
     assert run(scenario()) == [DeletedObject("Service", "s", 3)]
+
+
+# Guards against a configuration that counts as in force everywhere while nothing is
+# known of a data centre: its placer hasn't started, or can't write.
+def test_wait_names_a_data_centre_with_targets_but_no_status(files):
+    async def scenario(*with_status):
+        store = MemoryObjectStore()
+        for name in ("dc-a", "dc-b"):
+            spec = {"spec": {"dataCentre": name}}
+            await store.write("Target", f"t-{name}", orjson.dumps(spec), 0)
+        await store.write("Target", "invalid", b"{}", 0)
+        for name in with_status:
+            status = {"vm_revisions": {"vm-1": 3}, "revision_in_force": 3}
+            value = orjson.dumps({**status, "targets": {}})
+            await store.write("Status", name, value, 0)
+        view = await porcelain.status(store)
+        description = view.describe(StoredObject("Target", "t-dc-a", 1, b"{}"))
+        return await porcelain.wait_in_force(store, 0.1), description
+
+    assert run(scenario("dc-a", "dc-b")) == ([], "in force")
+    assert run(scenario("dc-a")) == (["dc-b has written no status"], "accepted")
+    assert run(scenario()) == (
+        ["dc-a has written no status", "dc-b has written no status"],
+        "unknown",
+    )
