Say so if peridotctl explain gets no explanation

`peridotctl explain` ended in a traceback if the reply wasn't JSON, as that of a proxy or of a wrong URL, or was a JSON number, and printed a JSON list with exit code 0 as if it were an explanation.

The reply was parsed whatever its form. One that isn't a JSON object raises InvalidReply now, which is printed with the URL, the HTTP status and the reason; the exit code is 4, as for a daemon that can't be reached.

The new tests failed before: "orjson.JSONDecodeError: unexpected character", "TypeError: argument of type 'int' is not iterable", "assert 0 == 4" and "orjson.JSONDecodeError: Input is a zero-length, empty document".

--- a/packages/ctl/peridot_ctl/errors.py
+++ b/packages/ctl/peridot_ctl/errors.py
@@ -1,8 +1,12 @@
-"""Outcomes of the operators' actions, one for each resource."""
+"""Outcomes of the operators' actions, one for each resource, and their errors."""
 
 from dataclasses import dataclass
 
 
+class InvalidReply(Exception):
+    """Raised for a reply of a daemon's admin pages that isn't of the expected form."""
+
+
 @dataclass(frozen=True)
 class Applied:
     """A resource was created, changed or deleted, would be, or is as declared."""
--- a/packages/ctl/peridot_ctl/main.py
+++ b/packages/ctl/peridot_ctl/main.py
@@ -11,7 +11,13 @@
 from aiohttp import ClientError, ClientSession
 
 from peridot_ctl import porcelain
-from peridot_ctl.errors import ActionOutcome, Applied, Conflicted, OutcomeUnknown
+from peridot_ctl.errors import (
+    ActionOutcome,
+    Applied,
+    Conflicted,
+    InvalidReply,
+    OutcomeUnknown,
+)
 from peridot_ctl.reports import format_report, make_report, plot_report
 from peridot_ctl.tables import (
     format_change,
@@ -50,7 +56,7 @@
 kinds: Service, Target, RoutingPolicy
 
 exit codes: 0 success, 1 invalid manifest or nothing found, 2 wrong usage,
-3 conflicting change by another operator, 4 request refused or object API
+3 conflicting change by another operator, 4 request refused, object API or daemon
 unavailable, 5 outcome unknown, 6 not in force in time
 """
 
@@ -111,7 +117,7 @@
     except InvalidManifests as error:
         print(error, file=sys.stderr)
         return EXIT_INVALID
-    except (ClientError, OSError) as error:
+    except (ClientError, OSError, InvalidReply) as error:
         print(f"peridotctl: {error}", file=sys.stderr)
         return EXIT_UNAVAILABLE
     except KeyboardInterrupt:
--- a/packages/ctl/peridot_ctl/porcelain.py
+++ b/packages/ctl/peridot_ctl/porcelain.py
@@ -15,6 +15,7 @@
     Applied,
     Conflicted,
     Failed,
+    InvalidReply,
     OutcomeUnknown,
 )
 from peridot_objects.objects import ObjectStore
@@ -222,10 +223,17 @@
 async def explain(
     session: ClientSession, admin_url: str, service: str, key: str
 ) -> dict:
-    """Return where a daemon sends a key's requests, and why."""
+    """Return where a daemon sends a key's requests, and why; raise InvalidReply."""
     query = {"service": service, "key": key}
     async with session.get(f"{admin_url}/explain", params=query) as response:
-        return orjson.loads(await response.read())
+        source = f"no explanation from {admin_url} (status {response.status})"
+        try:
+            reply = orjson.loads(await response.read())
+        except ValueError as error:
+            raise InvalidReply(f"{source}: {error}") from error
+    if not isinstance(reply, dict):
+        raise InvalidReply(f"{source}: not a JSON object")
+    return reply
 
 
 async def _apply_one(
--- a/packages/ctl/tests/test_main.py
+++ b/packages/ctl/tests/test_main.py
@@ -1,9 +1,14 @@
 """Test commands of peridotctl with an in-memory store."""
 
 import asyncio
+from contextlib import contextmanager
+from threading import Thread
 
 import pytest
 from absl import flags
+from absl.testing import flagsaver
+from aiohttp import web
+from aiohttp.test_utils import TestServer
 
 from peridot_ctl.errors import Applied, Conflicted, Failed, OutcomeUnknown
 from peridot_ctl.main import (
@@ -12,12 +17,36 @@
     EXIT_UNAVAILABLE,
     EXIT_UNKNOWN,
     CommandContext,
+    run,
     run_apply,
     worst_exit_code,
 )
 from peridot_objects.objects import MemoryObjectStore
 
 
+@contextmanager
+def serving(handler):
+    """Serve GET /explain in a thread of its own; yield the URL."""
+    loop = asyncio.new_event_loop()
+    thread = Thread(target=loop.run_forever)
+    thread.start()
+
+    def call(action):
+        return asyncio.run_coroutine_threadsafe(action, loop).result(5.0)
+
+    application = web.Application()
+    application.router.add_get("/explain", handler)
+    server = TestServer(application)
+    call(server.start_server())
+    try:
+        yield str(server.make_url("")).rstrip("/")
+    finally:
+        call(server.close())
+        loop.call_soon_threadsafe(loop.stop)
+        thread.join()
+        loop.close()
+
+
 @pytest.fixture(autouse=True)
 def parsed_flags():
     flags.FLAGS(["peridotctl"])
@@ -34,6 +63,21 @@
     assert store.writes == 0
 
 
+# Guards against a traceback: the URL may be that of a proxy, or of a later daemon.
+@pytest.mark.parametrize(
+    ("status", "reply"), [(502, "<html>no</html>"), (200, "3"), (200, "[]"), (404, "")]
+)
+def test_explain_says_so_if_the_reply_is_no_json_object(status, reply, capsys):
+    async def serve(request):
+        return web.Response(status=status, text=reply)
+
+    with serving(serve) as url, flagsaver.flagsaver(admin=url):
+        assert run(["peridotctl", "explain", "s", "k"]) == EXIT_UNAVAILABLE
+    error = capsys.readouterr().err
+    assert error.startswith("peridotctl: no explanation from http://127.0.0.1:")
+    assert f"status {status}" in error
+
+
 @pytest.mark.parametrize(
     ("outcomes", "code"),
     [
