--- a/packages/daemon/tests/test_sources.py
+++ b/packages/daemon/tests/test_sources.py
@@ -92,5 +92,5 @@
 
 # Guards against a start that is delayed by peers which have no configuration either.
 def test_store_is_watched_without_waiting_for_peers_while_the_vm_list_is_away():
-    replica = follow_until_loaded(UpdatingPeer(), False, timeout_s=1.0)
+    replica = follow_until_loaded(UpdatingPeer(), False, timeout_s=2.0)
     assert set(replica.catalog.policies) == {"p"}
--- a/packages/routing/tests/test_watcher.py
+++ b/packages/routing/tests/test_watcher.py
@@ -138,13 +138,17 @@
             await asyncio.sleep(0.01)
             replace_targets(watcher, {})
             watcher.tables.changed.notify()
-            await asyncio.sleep(0.01)
+            await asyncio.wait(watcher.tasks.values(), timeout=1.0)
+            assert watcher.tasks["t1"].done()
             replace_targets(watcher, {"t1": TARGET})
             probes.clear()
             watcher._update_tasks(group, TARGET.data_centre)
-            await asyncio.sleep(0.01)
+            for _ in range(50):
+                await asyncio.sleep(0.01)
+                if probes:
+                    break
             for task in watcher.tasks.values():
                 task.cancel()
 
     asyncio.run(session())
-    assert probes == [TARGET.address]
+    assert set(probes) == {TARGET.address}
