--- /dev/null
+++ b/packages/fakes/peridot_fakes/sitestate.py
@@ -0,0 +1,75 @@
+"""State that load, faults and checks of the gateway mode's soak share."""
+
+import asyncio
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+
+from peridot_fakes.disturbances import FaultTracker
+from peridot_fakes.holdserver import FakeServer
+from peridot_fakes.site import FILES_ROUTE, Site
+
+GATEWAYS = ("vm-1", "vm-2", "vm-3")
+# The guaranteed delays apply to requests whose gateway and store have had no fault for
+# this long.
+STABILITY_WINDOW_S = 3.0
+
+
+@dataclass
+class Verdict:
+    """The result of a soak.
+
+    `problems` counts broken guarantees and must be empty; `faults` counts injected
+    faults by name, and `answers` responses by status or error.
+    """
+
+    problems: Counter = field(default_factory=Counter)
+    details: list[str] = field(default_factory=list)
+    faults: Counter = field(default_factory=Counter)
+    answers: Counter = field(default_factory=Counter)
+
+    def record_problem(self, problem: str, detail: str) -> None:
+        """Count a broken guarantee and keep the details."""
+        self.problems[problem] += 1
+        self.details.append(f"{problem}: {detail}")
+
+
+@dataclass
+class SoakState:
+    """A site, and what was done to it and seen of it so far."""
+
+    site: Site
+    rng: random.Random
+    verdict: Verdict = field(default_factory=Verdict)
+    # Gateways that a load balancer would use.
+    usable: set[str] = field(default_factory=lambda: set(GATEWAYS))
+    # Version of the last stored configuration.
+    version: int = 1
+    # Last number used in a request's path or a server's name.
+    number: int = 0
+    # Servers that have ended; the requests that they ran are still checked.
+    ended_servers: list[FakeServer] = field(default_factory=list)
+    not_run_attempts: list[str] = field(default_factory=list)
+    post_attempts: list[str] = field(default_factory=list)
+    fault_tracker: FaultTracker = field(default_factory=FaultTracker)
+    # When servers were stored as draining, and when the last configuration was stored
+    # (s, event loop's clock).
+    drain_started_at: dict[str, float] = field(default_factory=dict)
+    changed_at: float = 0.0
+    # When (s) a gateway first passed on a response of a server that announced its
+    # leaving, by gateway and server. Restarts and pauses of the gateway end it.
+    announced_at: dict[tuple[str, str], float] = field(default_factory=dict)
+
+    def now(self) -> float:
+        """Return the event loop's time (s)."""
+        return asyncio.get_running_loop().time()
+
+    def next_number(self) -> int:
+        """Return an unused number."""
+        self.number += 1
+        return self.number
+
+    def new_route(self) -> list:
+        """Return the route that only the newest configuration has."""
+        name = f"new-{self.version}"
+        return [name, FILES_ROUTE[1], f"/{name}/", *FILES_ROUTE[3:]]
