Let the soak of the gateway mode find runs around another's lease

Change: the stand-in servers record the periods of their leases and their runs by key, and the soak checks them with find_runs_that_span_owners, as peridotd's soak does, as runs_spanning_another_owner. A server that is ended loses its leases at once, else it would count as a holder until they had expired. A restarted server counts as the same one.

--- a/packages/fakes/peridot_fakes/holdserver.py
+++ b/packages/fakes/peridot_fakes/holdserver.py
@@ -16,12 +16,58 @@
 from peridot_fakes.holders import LeaseHolder
 from peridot_fakes.relay import Relay
 from peridot_ownership.holds import Grant, Granted
-from peridot_ownership.ranges import KeyRange
+from peridot_ownership.ranges import ALL_KEYS, KeyRange
 
 NOT_RUN = {"X-Not-Executed": "1"}
+# All servers of a site that are divided by key belong to one service.
+KEYED_SERVICE = "files"
 LEASE_PATHS = ("/-/grant", "/-/release")
 
 
+@dataclass
+class RecordingHolder(LeaseHolder):
+    """A lease holder that also records the periods of its leases, as journals do.
+
+    Each renewal begins another period. Times are in seconds (monotonic).
+    """
+
+    periods: list[dict] = field(default_factory=list)
+    # The periods that may not have ended yet.
+    current: list[dict] = field(default_factory=list)
+
+    def add_lease(self, grant: Grant, arrived: float) -> None:
+        super().add_lease(grant, arrived)
+        self._begin_period(grant.keys, arrived, arrived + grant.hold_s)
+
+    def drop(self, keys: KeyRange) -> None:
+        super().drop(keys)
+        now = monotonic()
+        previous, self.current = self.current, []
+        for item in previous:
+            held = KeyRange(item["start"], item["last"] + 1)
+            if item["until"] <= now:
+                continue
+            if not held.overlaps(keys):
+                self.current.append(item)
+                continue
+            for part in held.minus([keys]):
+                self._begin_period(part, item["since"], item["until"])
+            item["start"] = max(held.start, keys.start)
+            item["last"] = min(held.end, keys.end) - 1
+            item["until"] = now
+
+    def _begin_period(self, keys: KeyRange, since: float, until: float) -> None:
+        period = {
+            "service": KEYED_SERVICE,
+            "start": keys.start,
+            "last": keys.end - 1,
+            "since": since,
+            "until": until,
+        }
+        self.periods.append(period)
+        self.current.append(period)
+
+
 @dataclass
 class FakeServer:
     """A target over HTTP that runs requests only for keys that it has a lease on."""
@@ -48,8 +94,11 @@
     # Simulates the network in front of the server, if set.
     relay: Relay | None = None
     registered_port: int | None = None
-    holder: LeaseHolder = field(default_factory=LeaseHolder)
+    holder: RecordingHolder = field(default_factory=RecordingHolder)
     runs: Counter = field(default_factory=Counter)
+    # Runs of requests with keys. They begin when the server has checked its lease, and
+    # may wait for a slot then (s, monotonic).
+    keyed_runs: list[dict] = field(default_factory=list)
     # When requests arrived (s, monotonic).
     arrived_at: list[float] = field(default_factory=list)
     # When the server last accepted a request (s, monotonic).
@@ -62,7 +111,8 @@
 
     def restart(self) -> None:
         """Lose all leases, as a new process under the same name."""
-        self.holder = LeaseHolder()
+        self.holder.drop(ALL_KEYS)
+        self.holder = RecordingHolder(periods=self.holder.periods)
         self.born += 1
         self.leaving = False
 
@@ -86,6 +136,14 @@
             "born": self.born,
         }
 
+    def make_journal(self) -> dict:
+        """Return the periods of the server's leases and its runs by key."""
+        return {
+            "name": self.name,
+            "ownerships": self.holder.periods,
+            "runs": self.keyed_runs,
+        }
+
     @asynccontextmanager
     async def serve(self) -> AsyncIterator[None]:
         """Serve on the loopback interface while the context lasts."""
@@ -142,7 +200,7 @@
         if self.shed or self.waiting >= self.max_waiting:
             self.shed = max(0, self.shed - 1)
             return web.Response(status=503, headers=NOT_RUN | self._load_headers())
-        self.last_accepted_at = monotonic()
+        self.last_accepted_at = began = monotonic()
         self.waiting += 1
         async with self.free_slots:
             self.waiting -= 1
@@ -153,6 +211,15 @@
                 self.running -= 1
         attempt_id = request.headers.get("X-Attempt-Id", "")
         self.runs[attempt_id] += 1
+        if self.divided_by_key:
+            self.keyed_runs.append(
+                {
+                    "request_id": attempt_id,
+                    "key_hash": key,
+                    "began": began,
+                    "ended": monotonic(),
+                }
+            )
         if self.lose_answers:
             self.lose_answers -= 1
             request.transport.abort()
--- a/packages/fakes/peridot_fakes/sitechecks.py
+++ b/packages/fakes/peridot_fakes/sitechecks.py
@@ -8,6 +8,7 @@
 from aiohttp import ClientError
 
 from peridot_fakes.disturbances import STORE
+from peridot_fakes.journals import find_runs_that_span_owners
 from peridot_fakes.sitestate import GATEWAYS, STABILITY_WINDOW_S, SoakState
 
 CHECK_PERIOD_S = 0.02
@@ -126,6 +127,13 @@
             if runs[attempt] > 1:
                 self.state.verdict.record_problem("orders_run_twice", attempt)
 
+    def check_runs_and_owners(self) -> None:
+        """Check that no server ran an attempt before and after another held its key."""
+        servers = (*self.state.site.servers.values(), *self.state.ended_servers)
+        journals = [server.make_journal() for server in servers]
+        for run in find_runs_that_span_owners(journals):
+            self.state.verdict.record_problem("runs_spanning_another_owner", run)
+
     def check_logs(self) -> None:
         """Check that no gateway reverted its configuration and no task failed."""
         for name in GATEWAYS:
--- a/packages/fakes/peridot_fakes/sitefaults.py
+++ b/packages/fakes/peridot_fakes/sitefaults.py
@@ -16,6 +16,7 @@
     make_configuration,
 )
 from peridot_fakes.sitestate import GATEWAYS, STABILITY_WINDOW_S, SoakState
+from peridot_ownership.ranges import ALL_KEYS
 
 # The store is restored from copies of at most this age, one for each period.
 MAX_COPY_AGE_S = 4.0
@@ -258,6 +259,8 @@
         if ("servers", server.name) in self.state.site.api.objects:
             await self.state.site.api.remove("servers", server.name)
         server.relay.cut()
+        # Otherwise it would count as a holder until its leases had expired.
+        server.holder.drop(ALL_KEYS)
 
     async def reuse_address(self) -> None:
         """Add a server, and replace another one by a server of the service orders."""
--- a/packages/fakes/peridot_fakes/sitesoak.py
+++ b/packages/fakes/peridot_fakes/sitesoak.py
@@ -56,6 +56,7 @@
             task.cancel()
         await asyncio.gather(*background, return_exceptions=True)
         self.checks.check_runs()
+        self.checks.check_runs_and_owners()
         self.checks.check_logs()
         return self.state.verdict
 
--- a/packages/fakes/tests/test_sitesoak.py
+++ b/packages/fakes/tests/test_sitesoak.py
@@ -1,10 +1,14 @@
 """Short soaks of the gateway mode with fixed seeds; longer ones are run by hand."""
 
 import asyncio
+import random
 
 import pytest
 
+from peridot_fakes.site import open_site
+from peridot_fakes.sitechecks import SiteChecks
 from peridot_fakes.sitesoak import run_soak
+from peridot_fakes.sitestate import SoakState
 
 # Seeds that have failed stay in the list. 17: a process ended 3.6 s after it had
 # stopped, seen once, cause unknown (docs/incidents/soak-17.md).
@@ -22,3 +26,59 @@
     verdict = asyncio.run(run_soak(seed, SECONDS, tmp_path, few))
     assert verdict.answers[200] > 0
     assert not verdict.problems, verdict.details[:5]
+
+
+ALL = {"from": 0, "to": 65_535}
+OTHERS = {"from": 100, "to": 65_535}
+
+
+# Guards against a soak that misses work of one target around another's ownership. The
+# key is 7; after each run the target loses its lease and the other may hold some keys.
+@pytest.mark.parametrize(
+    ("attempts", "held_by_other", "restarts", "found"),
+    [
+        ("aa", (ALL, None), False, ["a at files-1"]),
+        ("aa", (ALL, None), True, ["a at files-1"]),
+        ("aba", (None, ALL, None), False, ["a at files-1"]),
+        ("ab", (ALL, ALL), False, []),
+        ("aa", (OTHERS, ALL), False, []),
+        ("aa", (None, ALL), True, []),
+        ("baa", (ALL, None, ALL), False, []),
+    ],
+)
+def test_runs_of_an_attempt_around_another_lease_on_its_key_are_found(
+    attempts, held_by_other, restarts, found, tmp_path
+):
+    async def call(site, server, path, data, **headers):
+        url = f"http://127.0.0.1:{server.port}{path}"
+        async with site.session.post(url, json=data, headers=headers) as response:
+            assert response.status == 200
+
+    async def grant(site, server, fence, keys):
+        data = {**keys, "fence": fence, "holdS": 30.0}
+        await call(site, server, "/-/grant", data)
+
+    async def scenario():
+        async with open_site(tmp_path) as site:
+            target = await site.add_server("files-1", "files")
+            other = await site.add_server("files-2", "files")
+            for fence, attempt in enumerate(attempts, 1):
+                await grant(site, target, fence, ALL)
+                headers = {"X-Shard-Key": "7", "X-Attempt-Id": attempt}
+                await call(site, target, "/files/x", {}, **headers)
+                if restarts:
+                    target.restart()
+                else:
+                    await call(site, target, "/-/release", ALL)
+                if keys := held_by_other[fence - 1]:
+                    await grant(site, other, fence, keys)
+                    await call(site, other, "/-/release", ALL)
+            state = SoakState(site, random.Random(1))
+            SiteChecks(state).check_runs_and_owners()
+            # A server's runs are checked after it has ended, too.
+            state.ended_servers.append(site.servers.pop(target.name))
+            SiteChecks(state).check_runs_and_owners()
+            problem = "runs_spanning_another_owner: "
+            assert state.verdict.details == [problem + run for run in found] * 2
+
+    asyncio.run(scenario())
