--- a/packages/gateway/peridot_gateway/sender.py
+++ b/packages/gateway/peridot_gateway/sender.py
@@ -46,7 +46,7 @@
 # Even targets that forget idle connections early keep them for this time. Requests
 # that may run once use no others: after a reset it is unknown whether they ran.
 SAFE_IDLE_S = 0.2
-# No connection has been idle for less than this time.
+# Limit of the idle time that no kept connection meets, so that a new one is opened.
 NEW_CONNECTION_IDLE_S = -1.0
 # Idle connections to a target that are kept: at most this number, and this share of
 # what the target accepts from this VM.
