Test that a placer keeps its term as a silent store comes back

Cause: a placer resigns if a member's probe of the store is answered while its own call from before still hangs.

--- a/packages/gateway/tests/test_leading.py
+++ b/packages/gateway/tests/test_leading.py
@@ -44,10 +44,32 @@
     monkeypatch.setattr(recorder_module, "RETRY_PAUSE_S", 0.02)
 
 
+class SilentStore(MemoryObjectStore):
+    """A store that never responds to calls that begin while it is silent."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.silent = False
+        self.unanswered = 0
+
+    async def _hang_if_silent(self):
+        if self.silent:
+            self.unanswered += 1
+            await asyncio.Event().wait()
+
+    async def read(self, kind, name):
+        await self._hang_if_silent()
+        return await super().read(kind, name)
+
+    async def write(self, kind, name, value, expected):
+        await self._hang_if_silent()
+        return await super().write(kind, name, value, expected)
+
+
 @asynccontextmanager
-async def lead():
+async def lead(store=None):
     """Run a term in the background; yield its task, its leader role and the store."""
-    log, store = MemoryDecisionLog(), MemoryObjectStore()
+    log, store = MemoryDecisionLog(), store or MemoryObjectStore()
     load = FleetLoad(
         ConfigurationSource(store, KindsDialect, log),
         TargetSource(store, KindsDialect, log),
@@ -104,6 +126,47 @@
     asyncio.run(scenario())
 
 
+# Guards against a change of the placer whenever a silent store comes back: a member's
+# probe was answered while the placer still waited for a call from before.
+def test_a_placer_keeps_the_term_if_the_store_comes_back_for_all(monkeypatch):
+    monkeypatch.setattr(recorder_module, "CALL_TIMEOUT_S", 0.4)
+
+    async def scenario():
+        async with asyncio.timeout(5), lead(SilentStore()) as (task, leader, store):
+            writer = leader.placer.record_writer
+            store.silent = True
+            while not writer.store_lost:
+                await asyncio.sleep(0.01)
+            unanswered = store.unanswered
+            while store.unanswered == unanswered:
+                await asyncio.sleep(0.01)
+            # Beyond RESIGN_DELAY_S, while the placer waits for that call.
+            await asyncio.sleep(0.15)
+            store.silent = False
+            leader.handle_report(make_report(True))
+            await asyncio.sleep(0.6)
+            assert not task.done()
+            assert not writer.store_lost
+
+    asyncio.run(scenario())
+
+
+# Guards against a placer that waits for ever for its own calls.
+def test_a_placer_resigns_if_only_its_calls_get_no_response(monkeypatch):
+    monkeypatch.setattr(recorder_module, "CALL_TIMEOUT_S", 0.1)
+
+    async def scenario():
+        async with asyncio.timeout(5), lead(SilentStore()) as (task, leader, store):
+            store.silent = True
+            while not leader.placer.record_writer.store_lost:
+                await asyncio.sleep(0.01)
+            leader.handle_report(make_report(True))
+            async with asyncio.timeout(1):
+                await task
+
+    asyncio.run(scenario())
+
+
 def test_a_stopped_placer_reports_its_leases():
     async def scenario():
         async with lead() as (task, leader, _):
