--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -67,10 +68,15 @@
 
 
 def free_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a port that is free now and that no outgoing connection gets."""
+    while True:
+        port = random.randrange(20_000, 32_000)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
 
 
 class Site:
@@ -113,7 +119,7 @@
         """Start an endpoint and register it in the store."""
         sharded = service == "status-desk"
         endpoint = Endpoint(name, service, sharded, self.log, **options)
-        await endpoint.start()
+        await endpoint.start(free_port())
         self.endpoints[name] = endpoint
         await self.store.put("servers", name, endpoint.entry())
         self.log(f"endpoint {name} is registered")
@@ -251,7 +257,12 @@
 def run_case(scenario, record_path: Path) -> None:
     """Run a scenario and exit: 1 if it returns a broken rule, 0 if not, 2 on errors."""
 
+    # Where a caller ignores SIGHUP, the processes that are started would ignore it too.
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
+
     async def run() -> str:
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         site = Site(record_path)
         try:
             broken = await scenario(site, os.environ.get("TROUBLE") != "0")
@@ -262,7 +273,7 @@
 
     try:
         broken = asyncio.run(asyncio.wait_for(run(), 115))
-    except Exception as error:  # The case couldn't run.
+    except (Exception, asyncio.CancelledError) as error:  # The case couldn't run.
         print(f"error: {error!r}", file=sys.stderr)
         sys.exit(2)
     print(broken or "the rule held")
--- a/review/standins/endpoint.py
+++ b/review/standins/endpoint.py
@@ -58,6 +58,17 @@
         self.leases.clear()
         self.server.close()
 
+    async def restart(self) -> None:
+        """Start again under the same id at the same address, and know nothing."""
+        self.born = int(time.time() * 1000)
+        self.seen.clear()
+        self.running = self.waiting = 0
+        self.free = asyncio.Semaphore(self.slots)
+        self.ended = False
+        port = self.server.port
+        self.server = HttpServer(self._handle)
+        await self.server.start(port)
+
     def entry(self) -> dict:
         """Return its entry in the store."""
         return {
