--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import shutil
 import signal
 import socket
 import sys
@@ -224,6 +225,7 @@
             endpoint.end()
         self.store.server.close()
         self.record.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     def _make_settings(self, name: str, store_port: int | None) -> dict:
         front, ready, control, first, last = (free_port() for _ in range(5))
