Parse the fields for cold targets, evacuations, downloads and slow machines

Cause: X-Upstream-Load with a fourth figure was dropped whole, download counted as a route type whose requests run once at most, and nothing read warmupS, warmupPerS or the bounds for cold targets and evacuations. Change: the adapter translates them, the fleet's messages get fields for costs, speeds, cold targets and evacuations, and packages/scheduling is there for decisions under load.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := $(addprefix packages/,wire resources objects placement routing ownership daemon \
+PACKAGES := $(addprefix packages/,wire resources scheduling objects placement routing ownership daemon \
 	gateway ctl fakes) platform
 SEED ?= 1
 SECONDS ?= 60
@@ -15,7 +15,7 @@
 $(VENV)/.ready: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install -q --disable-pip-version-check \
-		-c constraints.txt hatchling editables
+		-c constraints.txt hatchling editables setuptools wheel pbr
 	$(BIN)/python -m pip install -q --disable-pip-version-check --no-build-isolation \
 		-c constraints.txt -r requirements-dev.txt \
 		$(foreach package,$(PACKAGES),-e $(package))
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -8,7 +8,8 @@
 fi
 rm -rf target/deps/peridot_*
 cp -r packages/wire/peridot_wire packages/objects/peridot_objects \
-    packages/resources/peridot_resources packages/placement/peridot_placement \
+    packages/resources/peridot_resources packages/scheduling/peridot_scheduling \
+    packages/placement/peridot_placement \
     packages/routing/peridot_routing packages/ownership/peridot_ownership \
     packages/daemon/peridot_daemon packages/gateway/peridot_gateway \
     platform/peridot_platform target/deps/
--- a/packages/fakes/tests/test_adapter.py
+++ b/packages/fakes/tests/test_adapter.py
@@ -70,6 +70,13 @@
     ]
 
 
+def test_downloads_may_run_more_than_once():
+    row = list(FILES_ROUTE)
+    row[3] = "download"
+    found = parse_configuration(orjson.dumps(make_configuration(3, [row])))
+    assert found.routes[0].idempotent
+
+
 @pytest.mark.parametrize(
     "change",
     [
@@ -116,6 +123,9 @@
     assert parse(503, {"X-Not-Executed": "1"}, request).not_run
     assert parse(421, {}, request).misdirected
     assert parse(421, {"X-Instance-Id": "i-2"}, request).answered_by == "i-2"
+    slow = parse(200, valid | {"X-Upstream-Load": "3,0,8,310"}, request).load
+    assert (slow.running, slow.waiting, slow.slots, slow.slowdown) == (3, 0, 8, 3.1)
+    assert parse(200, valid | {"X-Upstream-Load": "3,0,8,1,1"}, request).load is None
     assert parse(200, valid | {"X-Upstream-Load": "3,x"}, request).load is None
     assert parse(200, valid | {"Server-Leaving": "1"}, request).leaving
     assert not parse(200, valid | {"Server-Leaving": "0"}, request).leaving
--- a/packages/gateway/peridot_gateway/dialect.py
+++ b/packages/gateway/peridot_gateway/dialect.py
@@ -29,6 +29,9 @@
     running: int
     waiting: int
     slots: int
+    # How long work takes on the target's machine at this moment, as a multiple of the
+    # usual time; None if the target doesn't say.
+    slowdown: float | None = None
 
 
 @dataclass(frozen=True)
@@ -62,6 +65,7 @@
     configuration_kind: str
     configuration_name: str
     target_kind: str
+    evacuation_kind: str
     ready_path: str
 
     @abstractmethod
--- a/packages/gateway/peridot_gateway/settings.py
+++ b/packages/gateway/peridot_gateway/settings.py
@@ -33,6 +33,15 @@
     first_start: bool = False
     # Processor capacity of the VM in cores.
     cores: float = 1.0
+    # Memory limit of the process (MiB).
+    memory_mb: float = 300.0
+    # Limit of requests to a cold target in any second, from all VMs: the service's rate
+    # times the factor, plus the slack. Without a factor there is no limit.
+    cold_rate_factor: float | None = None
+    cold_rate_slack: float = 0.0
+    # No request may reach a target of an evacuated zone this long after the evacuation
+    # was stored (s); None if zones are never evacuated.
+    evacuate_s: float | None = None
 
     @property
     def target_recovery_s(self) -> float:
--- a/packages/resources/peridot_resources/configuration.py
+++ b/packages/resources/peridot_resources/configuration.py
@@ -1,6 +1,7 @@
 """Configuration of the gateway: routes, services, targets and caller limits."""
 
 from dataclasses import dataclass, field
+from math import inf
 
 
 @dataclass(frozen=True)
@@ -38,6 +39,10 @@
     max_connections: int
     # Time for which requests of a key that moved without handover are slow.
     warm_up_s: float
+    # For how long a target is cold after a start during traffic (s), and the rate of
+    # requests that it bears meanwhile (1/s); infinite if the service sets no limit.
+    cold_s: float = 0.0
+    cold_rate: float = inf
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/packages/scheduling/peridot_scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load, without network and without a clock."""
