Share a service's capacity between its routes by priority

Who got capacity of an overloaded service was chance: Route.priority was used nowhere. The placer now computes the admitted share of each route from reported arrivals, and VMs leave room in queues for more urgent routes.

--- a/packages/gateway/peridot_gateway/admission.py
+++ b/packages/gateway/peridot_gateway/admission.py
@@ -1,10 +1,11 @@
 """Admission of the gateway: refuse requests that a target can't finish in time."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from time import monotonic
 
-from peridot_gateway.estimates import Estimates
+from peridot_gateway.estimates import Estimates, TargetEstimate
 from peridot_gateway.requests import GatewayRequest
+from peridot_gateway.sharing import CapacitySharing
 from peridot_resources.configuration import TargetInstance
 from peridot_routing.outcomes import NotRun, Reason
 
@@ -15,11 +16,19 @@
 MIN_RETRY_AFTER_S = 0.1
 
 
+def expected_wait_s(
+    estimate: TargetEstimate, target: TargetInstance, now: float
+) -> float:
+    """Return how long a new request would wait for a slot of a target (s)."""
+    return estimate.expected_wait_s(target.slots, now)
+
+
 @dataclass
 class Admission:
-    """Compare a target's backlog to a request's remaining time."""
+    """Compare a target's backlog to a request's remaining time and its route's room."""
 
     estimates: Estimates
+    sharing: CapacitySharing = field(default_factory=CapacitySharing)
 
     def check(self, request: GatewayRequest, target: TargetInstance) -> NotRun | None:
         """Return a refusal if a target won't finish a request in time, else None."""
@@ -28,11 +37,35 @@
         if estimate.is_full(target.slots, now):
             retry_ms = int(1000 * max(MIN_RETRY_AFTER_S, estimate.processing_s))
             return NotRun(Reason.OVERLOADED, retry_ms, "full")
-        wait_s = estimate.expected_wait_s(target.slots, now)
+        wait_s = expected_wait_s(estimate, target, now)
         missing_s = (
             wait_s + PROCESSING_SHARE * estimate.processing_s - request.remaining_s()
         )
-        if wait_s <= 0 or missing_s <= 0:
+        if wait_s <= 0:
             return None
+        if missing_s <= 0:
+            return self._check_room(request, target, estimate, wait_s, now)
         retry_ms = int(1000 * max(MIN_RETRY_AFTER_S, missing_s))
         return NotRun(Reason.OVERLOADED, retry_ms, f"wait {wait_s:.3f}")
+
+    def _check_room(
+        self,
+        request: GatewayRequest,
+        target: TargetInstance,
+        estimate: TargetEstimate,
+        wait_s: float,
+        now: float,
+    ) -> NotRun | None:
+        """Return a refusal if a queue's rest is kept for more urgent requests."""
+        room = self.sharing.find_room(request)
+        if room is None:
+            return None
+        work_s = estimate.processing_s
+        overloaded = self.sharing.is_overloaded(request.service.name)
+        excess_s = wait_s - room.max_wait_s(work_s, overloaded)
+        limit = room.max_in_flight(target.slots, estimate.concurrency_limit)
+        if excess_s <= 0 and estimate.total_in_flight(now) < limit:
+            return None
+        return self.sharing.refuse_room(
+            request, max(0.0, excess_s), work_s, f"room {wait_s:.3f}"
+        )
--- a/packages/gateway/peridot_gateway/daemon.py
+++ b/packages/gateway/peridot_gateway/daemon.py
@@ -27,6 +27,7 @@
 from peridot_gateway.router import GatewayRouter, RouterParts
 from peridot_gateway.sender import Sender
 from peridot_gateway.settings import GatewaySettings
+from peridot_gateway.sharing import CapacitySharing
 from peridot_gateway.sources import ConfigurationSource
 from peridot_gateway.targets import TargetSource
 from peridot_objects.objects import ObjectStore
@@ -110,12 +111,15 @@
         )
         self.sender.handle_leaving = self._handle_leaving
         self.adapter.lease_client.handle_leaving = self._handle_leaving
+        self.sharing = CapacitySharing(
+            lambda: self.configuration.configuration, rng, log
+        )
         parts = RouterParts(
             self.owners,
             self.targets,
             self.estimates,
             Picker(settings.data_centre, self.estimates, rng),
-            Admission(self.estimates),
+            Admission(self.estimates, self.sharing),
             self.sender,
             log,
             rng,
@@ -127,6 +131,7 @@
             settings.leaving_grace_s,
         )
         self.load = FleetLoad(self.configuration, self.targets)
+        self.load.shares.log = log
         self.fleet = Fleet(
             self.local_instance,
             settings.data_centre,
@@ -143,6 +148,7 @@
                 settings.leaving_grace_s,
                 lambda: self.configuration.reachable,
                 settings.first_start,
+                self.sharing,
             ),
         )
         self.configuration.get_confirmed_version = lambda: self._confirmed_version(0)
@@ -314,6 +320,21 @@
             "Bodies of callers' requests in memory.",
             lambda: self.ingress.body_reader.held_bytes,
         )
+        gauges.add(
+            "routes_limited",
+            "Routes of shared services that aren't admitted in full.",
+            self.sharing.count_limited,
+        )
+        gauges.add(
+            "share_refusals",
+            "Requests refused by their route's share.",
+            lambda: self.sharing.share_refusals,
+        )
+        gauges.add(
+            "room_refusals",
+            "Requests refused to keep queues short for more urgent ones.",
+            lambda: self.sharing.room_refusals,
+        )
         gauges.add(
             "range_moves",
             "Key ranges that this placer moved.",
--- a/packages/gateway/peridot_gateway/fleet.py
+++ b/packages/gateway/peridot_gateway/fleet.py
@@ -14,6 +14,7 @@
 from peridot_gateway.owners import Owners
 from peridot_gateway.probe import StoreProbe
 from peridot_gateway.router import GatewayRouter
+from peridot_gateway.sharing import CapacitySharing
 from peridot_gateway.succession import find_earlier_leases
 from peridot_objects.objects import ObjectStore
 from peridot_objects.outcomes import Missing, ReadOutcome, StoredObject, WatchBatch
@@ -68,6 +69,7 @@
     store_reachable: Callable[[], bool]
     # Whether all VMs start for the first time.
     first_start: bool = False
+    sharing: CapacitySharing = field(default_factory=CapacitySharing)
 
 
 @dataclass
@@ -95,6 +97,7 @@
             StoreProbe(parts.store),
             parts.log,
         )
+        self.follower.handle_routes = parts.sharing.set_shares
         self.leader = LeaderRole(
             local_instance,
             parts.load,
@@ -361,6 +364,7 @@
         load = self.parts.load
         own = load.in_flight.get(self.local_instance.vm, {})
         self.parts.estimates.set_in_flight(load.in_flight_totals(), own)
+        self.parts.sharing.apply(load.shares.compute(load.clock()))
         self.follower.peers.update(
             [self.local_instance, *self.leader.roster.instances()]
         )
@@ -377,6 +381,7 @@
             keys=serialize_keys(self.parts.router.pop_key_counts()),
             store_reachable=self._is_store_reachable(),
             leaving=self.leaving,
+            routes=self.parts.sharing.pop_reports(),
         )
         for name, started_ms in self.parts.load.targets.announced_leaving.items():
             report.targets.add(target=name, leaving=True, started_ms=started_ms)
--- a/packages/gateway/peridot_gateway/fleetload.py
+++ b/packages/gateway/peridot_gateway/fleetload.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from peridot_gateway.fleetshares import FleetShares
 from peridot_gateway.sources import ConfigurationSource
 from peridot_gateway.targets import TargetSource
 from peridot_ownership.loads import KeyLoads
@@ -27,6 +28,14 @@
     # Requests in flight by VM and target.
     in_flight: dict[str, dict[str, int]] = field(default_factory=dict)
     clock: Callable[[], float] = boot_time
+    shares: FleetShares = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.shares = FleetShares(
+            lambda: self.configuration.configuration,
+            self.targets_of,
+            self.processing_s,
+        )
 
     def divided_services(self) -> list[str]:
         services = self.configuration.configuration.services.values()
@@ -53,6 +62,7 @@
         for counts in report.keys:
             pairs = zip(counts.keys, counts.counts, strict=True)
             self.loads_of(counts.service).add(pairs, now)
+        self.shares.record(report, now)
         for item in report.targets:
             if item.busy_count:
                 self._record_processing_time(item)
--- a/packages/gateway/peridot_gateway/following.py
+++ b/packages/gateway/peridot_gateway/following.py
@@ -1,6 +1,6 @@
 """FollowerRole: this VM's link to the placer and what it knows of a lost one."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from time import monotonic
 
 from peridot_gateway.estimates import Estimates
@@ -53,6 +53,8 @@
         self.latest_versions: tuple[int, int] = (0, 0)
         # The targets whose requests in flight the placer sends, in its order.
         self.in_flight_names: list[str] = []
+        # Applies the states of routes that the placer sends.
+        self.handle_routes: Callable[[Iterable[pb.RouteState]], None] = lambda _: None
 
     def is_connected(self) -> bool:
         """Return whether the link to the placer is up and its last state is recent."""
@@ -119,6 +121,8 @@
         else:
             self.peers.update(self.peers.instances)
         self._apply_target_entries(state)
+        if state.routes:
+            self.handle_routes(state.routes)
         if state.in_flight_names:
             self.in_flight_names = list(state.in_flight_names)
         if len(state.in_flight_counts) == len(self.in_flight_names):
--- a/packages/gateway/peridot_gateway/router.py
+++ b/packages/gateway/peridot_gateway/router.py
@@ -82,6 +82,9 @@
         budget = self._get_budget(request.service.name)
         budget.record_request()
         self._count_key(request)
+        refusal = self.parts.admission.sharing.admit(request)
+        if refusal is not None:
+            return self._finalize(request, refusal)
         last: Outcome | None = None
         while True:
             if request.abandoned:
@@ -330,6 +333,7 @@
         """Return the final outcome, not run only if no attempt may have run."""
         if isinstance(outcome, NotRun) and request.may_have_run:
             return Unknown(Reason.CONNECTION_LOST, f"last attempt: {outcome.reason}")
+        self.parts.admission.sharing.record_outcome(request, outcome)
         return outcome
 
     def _log_attempt(
--- a/packages/gateway/peridot_gateway/states.py
+++ b/packages/gateway/peridot_gateway/states.py
@@ -24,6 +24,8 @@
 ROSTER_PERIOD_S = 0.005
 # A list of fewer members is sent whenever it changes.
 SMALL_ROSTER = 16
+# Unchanged shares are sent this often: members use none that are older than 2 s.
+SHARES_PERIOD_S = 0.75
 # Number of last tables that are kept to send members the changes since.
 KEPT_TABLES = 16
 
@@ -38,6 +40,8 @@
     roster_sent_at: float = float("-inf")
     in_flight_sent_at: float = float("-inf")
     in_flight_names: tuple[str, ...] = ()
+    shares: list[pb.RouteState] = field(default_factory=list)
+    shares_sent_at: float = float("-inf")
     # TargetSource.change_count at the last message; None before the first list.
     change_count: int | None = None
 
@@ -83,6 +87,7 @@
             sent.roster_sent_at = monotonic()
         if monotonic() >= sent.in_flight_sent_at + IN_FLIGHT_PERIOD_S:
             self._add_in_flight(state, vm, sent)
+            self._add_shares(state, sent)
             sent.in_flight_sent_at = monotonic()
         if self.load.targets.reachable and self.load.targets.loaded:
             self._add_target_entries(state, sent)
@@ -160,6 +165,14 @@
             return True
         return monotonic() >= sent.roster_sent_at + ROSTER_PERIOD_S * count
 
+    def _add_shares(self, state: pb.FleetState, sent: SentState) -> None:
+        """Add the shares of routes if they have changed or are due."""
+        shares = self.load.shares.publish(self.load.clock())
+        is_due = monotonic() >= sent.shares_sent_at + SHARES_PERIOD_S
+        if shares and (is_due or shares is not sent.shares):
+            state.routes.extend(shares)
+            sent.shares, sent.shares_sent_at = shares, monotonic()
+
     def _add_in_flight(self, state: pb.FleetState, vm: str, sent: SentState) -> None:
         now = monotonic()
         if now >= self.in_flight_at + IN_FLIGHT_PERIOD_S / 2:
