--- a/packages/scheduling/peridot_scheduling/priorities.py
+++ b/packages/scheduling/peridot_scheduling/priorities.py
@@ -19,10 +19,12 @@
 # arrivals contain callers that were refused and come again.
 USUAL_AVERAGING_S = 15.0
 OVERLOADED_USUAL_AVERAGING_S = 120.0
+# At first, usual rates are the average since the start.
+INITIAL_USUAL_S = 5.0
 # Shares fall quickly, before queues are full, and rise more slowly, so that they don't
 # oscillate with the arrivals that they cause.
 FALLING_SHARE_S = 0.3
-RISING_SHARE_S = 1.5
+RISING_SHARE_S = 1.0
 # Shares are computed at most this often, and first when arrivals were counted for a
 # time: members of a new placer report to it one after the other.
 UPDATE_PERIOD_S = 0.2
@@ -84,23 +86,29 @@
     capacity: float,
     floor: float,
 ) -> dict[str, float]:
-    """Grant floors, then usual demand by priority, then bursts by priority."""
+    """Grant floors, then usual demand by priority, then bursts by priority.
+
+    Equally urgent routes get their average demand before any of them gets more.
+    """
     granted = {name: floor * work for name, work in needed.items()}
-    usual = {
-        name: min(needed[name], USUAL_HEADROOM * item.usual_rate * item.plan.work_s)
-        for name, item in demands.items()
-    }
+    usual, headroom = (
+        {
+            name: min(needed[name], factor * item.usual_rate * item.plan.work_s)
+            for name, item in demands.items()
+        }
+        for factor in (1.0, USUAL_HEADROOM)
+    )
     left = capacity - sum(granted.values())
     priorities = sorted({d.plan.priority for d in demands.values()}, reverse=True)
-    for limits in (usual, needed):
-        for priority in priorities:
-            group = [n for n, d in demands.items() if d.plan.priority == priority]
-            missing = {name: max(0.0, limits[name] - granted[name]) for name in group}
-            wanted = sum(missing.values())
-            part = min(1.0, left / wanted) if wanted > 0 else 0.0
-            for name in group:
-                granted[name] += part * missing[name]
-            left = max(0.0, left - part * wanted)
+    steps = [(p, limits) for p in priorities for limits in (usual, headroom)]
+    for priority, limits in steps + [(p, needed) for p in priorities]:
+        group = [n for n, d in demands.items() if d.plan.priority == priority]
+        missing = {name: max(0.0, limits[name] - granted[name]) for name in group}
+        wanted = sum(missing.values())
+        part = min(1.0, left / wanted) if wanted > 0 else 0.0
+        for name in group:
+            granted[name] += part * missing[name]
+        left = max(0.0, left - part * wanted)
     shares = {
         name: min(1.0, granted[name] / work) if work > 0 else 1.0
         for name, work in needed.items()
@@ -234,8 +242,9 @@
                 if grows and self.overloaded
                 else USUAL_AVERAGING_S
             )
-            # At first, the usual rate is the average since the start.
-            weight = _weight(elapsed_s, min(averaging_s, age_s))
+            if age_s < INITIAL_USUAL_S:
+                averaging_s = age_s
+            weight = _weight(elapsed_s, averaging_s)
             weight = 1.0 if initial else weight
             level.usual_rate += weight * (level.rate - level.usual_rate)
 
--- a/packages/scheduling/tests/test_priorities.py
+++ b/packages/scheduling/tests/test_priorities.py
@@ -308,7 +308,7 @@
 
 
 def test_callers_that_come_back_as_told_go_first_and_others_do_not():
-    """Guards against a second refusal of those that waited, and gains by asking at once.
+    """Guards against a second refusal of those that waited, or gains by haste.
 
     Half of a route is admitted; each caller has 2 s in its first attempt.
     """
