--- a/packages/gateway/peridot_gateway/fleetshares.py
+++ b/packages/gateway/peridot_gateway/fleetshares.py
@@ -44,31 +44,32 @@
     computed_at: float = float("-inf")
     configuration: Configuration | None = None
     shared: dict[str, list[Route]] = field(default_factory=dict)
+    known: set[tuple[str, str]] = field(default_factory=set)
 
     def record(self, report: pb.FleetReport, now: float) -> None:
         """Count the arrivals and refusals that one VM reports."""
         if not report.routes:
             return
-        shared = self._find_shared()
+        self._find_shared()
         for item in report.routes:
-            if not any(
-                route.name == item.route for route in shared.get(item.service, ())
-            ):
+            service, route = item.service, item.route
+            if (service, route) not in self.known:
                 continue
-            if item.arrived > MAX_REPORTED or item.refused > MAX_REPORTED:
+            arrived, refused = item.arrived, item.refused
+            if arrived > MAX_REPORTED or refused > MAX_REPORTED:
                 self.log.write(
                     "route_report_invalid",
                     vm=report.vm,
-                    service=item.service,
-                    route=item.route,
-                    arrived=item.arrived,
-                    refused=item.refused,
+                    service=service,
+                    route=route,
+                    arrived=arrived,
+                    refused=refused,
                 )
                 continue
-            levels = self.services.get(item.service)
+            levels = self.services.get(service)
             if levels is None or now > levels.updated_at + STALE_S:
-                levels = self.services[item.service] = ServiceLevels()
-            levels.record(item.route, item.arrived, item.refused, now)
+                levels = self.services[service] = ServiceLevels()
+            levels.record(route, arrived, refused, now)
 
     def compute(self, now: float) -> dict[tuple[str, str], float]:
         """Return the shares by service and route, where several routes share one."""
@@ -110,6 +111,11 @@
         if configuration is not self.configuration:
             self.configuration = configuration
             self.shared = shared_routes(configuration)
+            self.known = {
+                (service, route.name)
+                for service, routes in self.shared.items()
+                for route in routes
+            }
         return self.shared
 
     def expected_work_s(self, route: Route, targets: list[TargetInstance]) -> float:
--- a/packages/scheduling/peridot_scheduling/priorities.py
+++ b/packages/scheduling/peridot_scheduling/priorities.py
@@ -173,7 +173,9 @@
         """Count requests of a route that arrived, and those of them refused."""
         if self.counted_from is None:
             self.counted_from = self.updated_at = now
-        level = self.routes.setdefault(route, RouteLevel())
+        level = self.routes.get(route)
+        if level is None:
+            level = self.routes[route] = RouteLevel()
         level.arrived += arrived
         level.refused += min(refused, arrived)
 
--- a/packages/scheduling/tests/test_priorities.py
+++ b/packages/scheduling/tests/test_priorities.py
@@ -12,6 +12,7 @@
 from itertools import count
 
 import pytest
+from hypothesis import given, strategies as st
 
 from peridot_scheduling.priorities import (
     RouteDemand,
@@ -300,6 +301,36 @@
     assert all(0.0 < share <= 1.0 for share in shares.values())
 
 
+ROUTE_DEMANDS = st.builds(
+    RouteDemand,
+    st.builds(RoutePlan, st.integers(-3, 3), st.floats(0.01, 1.0)),
+    st.floats(0.1, 500.0),
+    st.floats(0.0, 500.0),
+)
+
+
+@given(
+    st.dictionaries(st.sampled_from("abcdef"), ROUTE_DEMANDS, min_size=1),
+    st.floats(1.0, 500.0),
+)
+def test_shares_fit_the_capacity_in_the_order_of_priorities_with_a_floor(
+    demands, capacity
+):
+    """Guards against starved routes, and urgent ones behind less urgent ones."""
+    shares = compute_shares(demands, capacity)
+    work = {name: item.rate * item.plan.work_s for name, item in demands.items()}
+    granted = sum(shares[name] * work[name] for name in demands)
+    assert granted <= max(capacity, 0) + 1e-6
+    assert granted >= min(capacity, sum(work.values())) * 0.999 - 1e-6
+    arrived = sum(item.rate for item in demands.values())
+    overall = sum(shares[n] * d.rate for n, d in demands.items()) / arrived
+    for name, item in demands.items():
+        assert shares[name] >= min(0.25 * overall, capacity / sum(work.values()) - 1e-6)
+        for other in demands:
+            if demands[other].plan.priority < item.plan.priority:
+                assert shares[name] >= shares[other] - 1e-6
+
+
 @pytest.mark.parametrize("slots", [0, -3, float("nan"), float("inf")])
 def test_without_a_valid_capacity_no_shares_are_given(slots):
     levels = ServiceLevels()
