--- a/packages/gateway/tests/test_sharing.py
+++ b/packages/gateway/tests/test_sharing.py
@@ -1,15 +1,21 @@
 """Capacity shared between routes: from reports over the placer's shares to refusals."""
 
 import asyncio
+from random import Random
 from types import SimpleNamespace
 
 import pytest
 
+from peridot_fakes.holders import MemoryLeaseClient
 from peridot_gateway.admission import Admission
 from peridot_gateway.estimates import Estimates
+from peridot_gateway.fleet import Fleet, FleetParts
 from peridot_gateway.fleetshares import FleetShares
+from peridot_gateway.owners import Owners
 from peridot_gateway.sharing import CapacitySharing, serialize_shares
 from peridot_gateway.states import SHARES_PERIOD_S, SentState, StateWriter
+from peridot_objects.objects import MemoryObjectStore
+from peridot_ownership.record import DaemonInstance
 from peridot_placement.decisions import MemoryDecisionLog
 from peridot_resources.configuration import Configuration
 from peridot_routing.outcomes import Answered, NotRun, Reason
@@ -27,6 +33,16 @@
         return self.now
 
 
+class FakeTargets:
+    """A source without targets."""
+
+    kind = "targets"
+    announced_leaving: dict[str, int] = {}
+
+    def apply_pushed(self, *arguments) -> None:
+        pass
+
+
 @pytest.fixture
 def make_sharing(make_route):
     def make(*priorities: int) -> CapacitySharing:
@@ -212,3 +228,33 @@
     receiver = CapacitySharing()
     receiver.set_shares(serialize_shares(fleet_shares.compute(now)))
     assert receiver.shares[KEY] == pytest.approx(fleet_shares.shares[KEY], abs=0.001)
+
+
+def test_a_member_reports_counts_and_applies_the_shares_that_it_is_sent(
+    make_sharing, make_request
+):
+    """Guards against fields that the link between VM and placer leaves out."""
+    sharing = make_sharing(0, -1)
+    load, estimates = SimpleNamespace(targets=FakeTargets()), Estimates()
+    parts = FleetParts(
+        MemoryObjectStore(),
+        MemoryLeaseClient(),
+        load,
+        Owners(),
+        estimates,
+        SimpleNamespace(pop_key_counts=dict),
+        MemoryDecisionLog(),
+        Random(1),
+        10.0,
+        1.0,
+        lambda: True,
+        sharing=sharing,
+    )
+    fleet = Fleet(DaemonInstance("vm-1", "i-1", "127.0.0.1:1"), "a", parts)
+    state = pb.FleetState(leading=True, term=1, store_reachable=True)
+    state.routes.extend(serialize_shares({KEY: 0.25}))
+    fleet.follower.handle_state(state)
+    assert sharing.shares == {KEY: 0.25} and sharing.is_current()
+    sharing.admit(make_request(name="r1"))
+    (report,) = fleet.build_report().routes
+    assert (report.service, report.route, report.arrived) == (*KEY, 1)
