Raise equally urgent routes to the same part of their usual demand

A floor was granted in addition to a part of the usual demand, so a burst of an equally urgent route got more than before it.

--- a/packages/scheduling/peridot_scheduling/priorities.py
+++ b/packages/scheduling/peridot_scheduling/priorities.py
@@ -37,6 +37,8 @@
 EXPECTED_REFUSAL_RATIO = 0.03
 USABLE_GROWTH_PER_S = 0.04
 MAX_USABLE_DECLINE_PER_S = 0.1
+# Bisections of a level: exact to a thousandth of a permille.
+LEVEL_STEPS = 20
 # Shares from here on are rounded to all.
 FULL_SHARE = 0.995
 
@@ -103,12 +105,9 @@
     steps = [(p, limits) for p in priorities for limits in (usual, headroom)]
     for priority, limits in steps + [(p, needed) for p in priorities]:
         group = [n for n, d in demands.items() if d.plan.priority == priority]
-        missing = {name: max(0.0, limits[name] - granted[name]) for name in group}
-        wanted = sum(missing.values())
-        part = min(1.0, left / wanted) if wanted > 0 else 0.0
-        for name in group:
-            granted[name] += part * missing[name]
-        left = max(0.0, left - part * wanted)
+        raised = _raise_level(group, granted, limits, left)
+        left -= sum(raised[name] - granted[name] for name in group)
+        granted |= raised
     shares = {
         name: min(1.0, granted[name] / work) if work > 0 else 1.0
         for name, work in needed.items()
@@ -116,6 +115,34 @@
     return _order_shares(shares, demands, needed)
 
 
+def _raise_level(
+    group: list[str],
+    granted: Mapping[str, float],
+    limits: Mapping[str, float],
+    left: float,
+) -> dict[str, float]:
+    """Return grants raised to the same part of each limit, by what is left in total.
+
+    Grants that are above that part stay: the floor of a burst is no addition to its
+    usual demand.
+    """
+
+    def raise_to(part: float) -> dict[str, float]:
+        return {name: max(granted[name], part * limits[name]) for name in group}
+
+    available = left + sum(granted[name] for name in group)
+    low, high = 0.0, 1.0
+    if sum(raise_to(high).values()) <= available:
+        return raise_to(high)
+    for _ in range(LEVEL_STEPS):
+        middle = (low + high) / 2
+        if sum(raise_to(middle).values()) <= available:
+            low = middle
+        else:
+            high = middle
+    return raise_to(low)
+
+
 def _order_shares(
     shares: Mapping[str, float],
     demands: Mapping[str, RouteDemand],
--- a/packages/scheduling/tests/test_priorities.py
+++ b/packages/scheduling/tests/test_priorities.py
@@ -68,7 +68,7 @@
         # The placer sends shares between these times (s).
         self.placer_up = options.get("placer_up", lambda now: True)
         self.priorities = options.get("priorities", PRIORITIES)
-        self.rng = random.Random(5)
+        self.rng = random.Random(options.get("seed", 5))
         self.free_at = [[0.0] * SLOTS for _ in range(TARGETS)]
         self.queued = [0] * TARGETS
         self.others = [0] * TARGETS
@@ -225,17 +225,18 @@
     assert min(map(new.share, MIX)) > 0.99 * min(map(old.share, MIX))
 
 
-def test_a_burst_of_one_route_does_not_take_the_room_of_others():
+@pytest.mark.parametrize("seed", [1, 2, 5])
+def test_a_burst_of_one_route_does_not_take_the_room_of_others(seed):
     """Guards against routes that are refused because another one gets 2.3 times more.
 
     The service is at 1.1 of its capacity without the burst.
     """
-    new, old = compare(1.1, burst=("late", 8.0, 18.0))
+    new, old = compare(1.1, burst=("late", 8.0, 18.0), seed=seed)
     assert min(new.share("urgent"), new.share("usual")) > 0.95
     assert max(old.share("urgent"), old.share("usual")) < 0.9
     equal = dict.fromkeys(PRIORITIES, 0)
-    steady, _ = compare(1.1, priorities=equal)
-    new, old = compare(1.1, burst=("usual", 8.0, 18.0), priorities=equal)
+    steady, _ = compare(1.1, priorities=equal, seed=seed)
+    new, old = compare(1.1, burst=("usual", 8.0, 18.0), priorities=equal, seed=seed)
     lost = steady.share("late") - new.share("late")
     lost_before = steady.share("late") - old.share("late")
     assert lost < 0.08 and lost < 0.7 * lost_before
