Leave a margin in queues of overloaded services

Under overload the queue took the whole shortest objective, so that late figures and varying processing times made half of the admitted requests late.

--- a/packages/scheduling/peridot_scheduling/queueing.py
+++ b/packages/scheduling/peridot_scheduling/queueing.py
@@ -8,6 +8,9 @@
 ROOM_PER_PRIORITY = 0.6
 # Part of the room of equally urgent routes that those with longer objectives may fill.
 LONGER_OBJECTIVE_ROOM = 0.85
+# Part of the most urgent routes' objective that a queue takes under overload: the rest
+# covers processing times that vary and figures of other VMs that are late.
+OVERLOADED_ROOM = 0.7
 # A route may always make this part of a processing time of a queue, so that slots don't
 # idle between two requests.
 MIN_ROOM_SHARE = 0.25
@@ -55,7 +58,10 @@
             # Of equally urgent routes, the one with the longest objective would fill
             # the queue otherwise.
             part = 1.0 if self.is_shortest else LONGER_OBJECTIVE_ROOM
-            limit_s = min(limit_s, part * (self.equal_objective_s - processing_s))
+            limit_s = min(
+                limit_s,
+                OVERLOADED_ROOM * part * (self.equal_objective_s - processing_s),
+            )
         return max(MIN_ROOM_SHARE * processing_s, limit_s)
 
     def max_in_flight(self, slots: int, limit: float) -> float:
