Compute shares for routes with requests only

Cause: shares and rooms were kept for all routes of a configuration. With 1,400 routes to a service the placer would have sent each VM an entry for each, and planning the rooms took time quadratic in the routes at each new configuration. Change: routes with less than 2 in 100 of a service's requests get no share, and a service with one active route has none. Rooms are planned for the routes with shares. Tests: test_routes_without_requests_get_no_shares; a new term with one route has no shares instead of full ones. packages/scheduling and test_sharing.py pass.

--- a/packages/gateway/peridot_gateway/fleetshares.py
+++ b/packages/gateway/peridot_gateway/fleetshares.py
@@ -86,12 +86,16 @@
                     route.priority, self.expected_work_s(route, targets)
                 )
                 for route in shared[service]
+                if route.name in levels.routes
             }
             slots = sum(max(0, target.slots) for target in targets)
             found = levels.update(plans, slots, now)
-            for route, share in (found or {}).items():
-                shares[service, route] = share
-            self._log_changes(service, levels, found or {}, now)
+            active = levels.active_routes() if found else []
+            if len(active) < 2:
+                continue
+            for route in active:
+                shares[service, route] = found[route]
+            self._log_changes(service, levels, found, now)
         self.shares, self.computed_at = shares, now
         return shares
 
--- a/packages/gateway/peridot_gateway/sharing.py
+++ b/packages/gateway/peridot_gateway/sharing.py
@@ -65,8 +65,10 @@
     # Requests refused by share, and for the room of more urgent ones.
     share_refusals: int = 0
     room_refusals: int = 0
-    # Rooms by service and route, and the configuration that they are of.
+    # Rooms of the routes with shares, by service and route.
     rooms: dict[str, dict[str, QueueRoom]] = field(default_factory=dict)
+    # The routes of shared services in a configuration, by service and name.
+    routes: dict[str, dict[str, Route]] = field(default_factory=dict)
     configuration: Configuration | None = None
 
     def set_shares(self, states: Iterable[pb.RouteState]) -> None:
@@ -88,13 +90,15 @@
 
     def apply(self, shares: dict[tuple[str, str], float]) -> None:
         """Replace the shares by service and route."""
+        if shares.keys() != self.shares.keys():
+            self.rooms.clear()
         self.shares = shares
         self.updated_at = self.clock()
 
     def admit(self, request: GatewayRequest) -> NotRun | None:
         """Count a new request; return a refusal if its route's share is used up."""
         service, route = request.service.name, request.route.name
-        if not self._find_rooms(service):
+        if not self._find_routes(service):
             return None
         now = self.clock()
         key = service, route
@@ -158,7 +162,7 @@
         service, route = request.service.name, request.route.name
         if not isinstance(outcome, NotRun) or outcome.reason not in CAPACITY_REASONS:
             return
-        if self._find_rooms(service):
+        if self._find_routes(service):
             self.refused[service, route] += 1
             self._find_floor(service).record_refusal(route, self.clock())
 
@@ -189,18 +193,28 @@
     def _find_floor(self, service: str) -> FloorGuard:
         return self.floors.setdefault(service, FloorGuard())
 
-    def _find_rooms(self, service: str) -> dict[str, QueueRoom]:
-        """Return the rooms of a service's routes, empty if only one route uses it."""
+    def _find_routes(self, service: str) -> dict[str, Route]:
+        """Return a service's routes, empty if only one route uses it."""
         configuration = self.get_configuration()
         if configuration is not self.configuration:
             self.configuration = configuration
-            self.rooms = {
-                name: plan_rooms(
-                    {route.name: route.priority for route in routes},
-                    {route.name: route.latency_objective_s for route in routes},
-                )
+            self.routes = {
+                name: {route.name: route for route in routes}
                 for name, routes in shared_routes(configuration).items()
             }
+            self.rooms.clear()
             self.gates.clear()
             self.floors.clear()
-        return self.rooms.get(service, {})
+        return self.routes.get(service, {})
+
+    def _find_rooms(self, service: str) -> dict[str, QueueRoom]:
+        """Return the rooms of a service's routes that have shares."""
+        routes = self._find_routes(service)
+        if service not in self.rooms:
+            names = [route for name, route in self.shares if name == service]
+            active = [routes[name] for name in names if name in routes]
+            self.rooms[service] = plan_rooms(
+                {route.name: route.priority for route in active},
+                {route.name: route.latency_objective_s for route in active},
+            )
+        return self.rooms[service]
--- a/packages/scheduling/peridot_scheduling/priorities.py
+++ b/packages/scheduling/peridot_scheduling/priorities.py
@@ -39,6 +39,9 @@
 MAX_USABLE_DECLINE_PER_S = 0.1
 # Bisections of a level: exact to a thousandth of a permille.
 LEVEL_STEPS = 20
+# Routes with less than this part of a service's requests compete for nothing: a
+# configuration may have thousands of routes, most of them without requests.
+MIN_ACTIVE_SHARE = 0.02
 # Shares from here on are rounded to all.
 FULL_SHARE = 0.995
 
@@ -228,6 +231,15 @@
             return None
         return {name: level.share for name, level in self.routes.items()}
 
+    def active_routes(self) -> list[str]:
+        """Return the routes that make up a noticeable part of the requests."""
+        total = sum(level.usual_rate for level in self.routes.values())
+        return [
+            name
+            for name, level in self.routes.items()
+            if level.usual_rate > 0 and level.usual_rate >= MIN_ACTIVE_SHARE * total
+        ]
+
     def _correct_usable_share(
         self, plans: Mapping[str, RoutePlan], elapsed_s: float
     ) -> None:
