Let one unreadable object cost that object only

Cause: a response of the store was parsed as a whole. orjson refuses a document for one string that isn't UTF-8, one number beyond a double, or deep nesting, and one missing or mistyped field ended the parsing of a list. The list or watch then counted as StoreUnavailable for as long as the object was stored. A revision of another type or beyond that of the store looked like a restore, or like a change that no watch returns.

Change: peridot_objects.documents divides an invalid response into its objects. An object whose name and revision can be read gets the value null, which no parser takes: it is known and not used. Others are reported in Listing.unreadable and WatchBatch.unreadable. Both are logged and counted (peridot_invalid_objects_total by kind; in peridotd peridot_objects_refused). Fields of configurations and placement records are checked for their types and bounds, so that no invalid object reaches a source's view.

Not mended: a first term of peridotd beside an unreadable assignment (keeper.py), tables that a placer pushes (leases.py), and the values of peridotctl still need all objects. An unreadable placement record is logged and counted, but no VM replaces it.

--- a/packages/daemon/peridot_daemon/daemon.py
+++ b/packages/daemon/peridot_daemon/daemon.py
@@ -344,6 +344,11 @@
             "Updates refused because their revision was older.",
             lambda: self.replica.reverts_refused,
         )
+        gauges.add(
+            "objects_refused",
+            "Stored objects that couldn't be read or parsed, at each attempt.",
+            lambda: self.replica.objects_refused,
+        )
         gauges.add(
             "term_held",
             "1 if this VM is the placer, otherwise 0.",
--- a/packages/daemon/peridot_daemon/logs.py
+++ b/packages/daemon/peridot_daemon/logs.py
@@ -56,7 +56,8 @@
         """Write the buffered lines, as far as possible without blocking."""
         lines, self.lines = self.lines, []
         if len(self.pending) < MAX_PENDING_BYTES:
-            self.pending += "".join(lines).encode()
+            # Headers may hold bytes that are no text, as surrogates.
+            self.pending += "".join(lines).encode(errors="backslashreplace")
         try:
             while self.pending:
                 written = os.write(self.descriptor, self.pending)
--- a/packages/daemon/peridot_daemon/replica.py
+++ b/packages/daemon/peridot_daemon/replica.py
@@ -47,6 +47,8 @@
     from_store: bool = False
     confirmed_at: float = float("-inf")
     reverts_refused: int = 0
+    # Number of times that an object couldn't be read or parsed.
+    objects_refused: int = 0
     invalid_objects: set[tuple[str, str]] = field(default_factory=set)
     changed: ChangeSignal = field(default_factory=ChangeSignal)
 
@@ -146,7 +148,7 @@
             resources[section][name] = parse(name, parse_spec(item))
         except InvalidObject as error:
             self.invalid_objects.add((kind, name))
-            self.log.write("object_refused", kind=kind, name=name, reason=error)
+            self._refuse(kind, name, error)
             last_valid = getattr(previous, section).get(name)
             if last_valid is not None:
                 resources[section][name] = last_valid
@@ -155,10 +157,19 @@
         if isinstance(change, DeletedObject):
             tables = {Kind.HOME: self.homes, Kind.ASSIGNMENT: self.assignments}
             tables.get(change.kind, {}).pop(change.name, None)
-        elif change.kind == Kind.HOME:
-            self.homes[change.name] = parse_home(change.value)
-        elif change.kind == Kind.ASSIGNMENT:
-            self.assignments[change.name] = parse_assignment(change.value)
+            return
+        try:
+            if change.kind == Kind.HOME:
+                self.homes[change.name] = parse_home(change.value)
+            elif change.kind == Kind.ASSIGNMENT:
+                self.assignments[change.name] = parse_assignment(change.value)
+        except InvalidObject as error:
+            # The last valid form stays.
+            self._refuse(change.kind, change.name, error)
+
+    def _refuse(self, kind: str, name: str, error: InvalidObject) -> None:
+        self.objects_refused += 1
+        self.log.write("object_refused", kind=kind, name=name, reason=error)
 
 
 def parse_spec(item: StoredObject) -> dict:
--- a/packages/daemon/peridot_daemon/sources.py
+++ b/packages/daemon/peridot_daemon/sources.py
@@ -117,6 +117,7 @@
         listing = await self.store.list(WATCHED_KINDS)
         if not isinstance(listing, Listing):
             return
+        self._log_unreadable(listing.unreadable)
         self.replica.apply_listing(listing)
         while True:
             batch = await self.store.watch(
@@ -127,11 +128,17 @@
             if not isinstance(batch, WatchBatch):
                 self.log.write("store_away", reason=batch.reason)
                 return
+            self._log_unreadable(batch.unreadable)
             self.replica.apply_changes(batch.revision, batch.changes)
             readers = self.readers()
             if readers and self.local_vm not in readers:
                 return
 
+    def _log_unreadable(self, reasons: Iterable[str]) -> None:
+        for reason in reasons:
+            self.replica.objects_refused += 1
+            self.log.write("object_unreadable", reason=reason)
+
     async def _refresh_vm_list(self) -> None:
         while True:
             await self._read_vm_list()
@@ -140,6 +147,7 @@
     async def _read_vm_list(self) -> None:
         listing = await self.vm_list.read()
         if isinstance(listing, VmListing):
+            self._log_unreadable(listing.unreadable)
             self.replica.update_vms(listing.vms)
 
     async def _sync_from(self, address: str) -> bool:
--- a/packages/gateway/peridot_gateway/daemon.py
+++ b/packages/gateway/peridot_gateway/daemon.py
@@ -11,6 +11,7 @@
 
 from aiohttp import web
 from aiomisc import Service
+from prometheus_client.core import CounterMetricFamily
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 
 from peridot_daemon.metrics import Metrics
@@ -31,7 +32,7 @@
 from peridot_gateway.targets import TargetSource
 from peridot_objects.objects import ObjectStore
 from peridot_ownership.holds import TargetLeaseClient
-from peridot_ownership.record import DaemonInstance
+from peridot_ownership.record import RECORD_KIND, DaemonInstance
 from peridot_placement.decisions import DecisionLog
 from peridot_resources.configuration import TargetInstance
 
@@ -277,6 +278,7 @@
 
     def _add_gauges(self) -> None:
         gauges = self.metrics.gauges
+        gauges.add_family(self._count_invalid_objects)
         gauges.add(
             "configuration_version",
             "Version of the configuration in force here.",
@@ -320,6 +322,18 @@
             lambda: self.fleet.placer.moves if self.fleet.placer else 0,
         )
 
+    def _count_invalid_objects(self) -> CounterMetricFamily:
+        """Return the counts of stored objects that couldn't be read, by kind."""
+        family = CounterMetricFamily(
+            "peridot_invalid_objects",
+            "Stored objects that couldn't be read or parsed.",
+            labels=("kind",),
+        )
+        for source in (self.configuration, self.targets):
+            family.add_metric((source.kind,), source.invalid_objects)
+        family.add_metric((RECORD_KIND,), self.fleet.invalid_records)
+        return family
+
 
 @asynccontextmanager
 async def serve_page(address: str, page: Callable):
--- a/packages/gateway/peridot_gateway/fleet.py
+++ b/packages/gateway/peridot_gateway/fleet.py
@@ -104,6 +104,8 @@
             self._report_locally,
         )
         self.observed_record = ObservedRecord()
+        # Number of stored records that couldn't be read or parsed so far.
+        self.invalid_records = 0
         self.server = FleetServer(
             self.leader.handle_report,
             self.leader.build_state,
@@ -172,7 +174,7 @@
         try:
             record = parse_record(found.value)
         except InvalidRecord as error:
-            self.parts.log.write("record_unreadable", reason=error)
+            self._record_invalid(error)
             await asyncio.sleep(RETRY_DELAY_S)
             return None
         if record.holder == self.local_instance:
@@ -182,6 +184,10 @@
         end_reason = await self._follow(record.holder)
         return await self._replace_lost_placer(record.holder, end_reason)
 
+    def _record_invalid(self, error: InvalidRecord) -> None:
+        self.invalid_records += 1
+        self.parts.log.write("record_unreadable", reason=error)
+
     async def _replace_lost_placer(
         self, holder: DaemonInstance, end_reason: LinkEndReason
     ) -> StoredObject | None:
@@ -235,7 +241,7 @@
         try:
             record = parse_record(found.value)
         except InvalidRecord as error:
-            self.parts.log.write("record_unreadable", reason=error)
+            self._record_invalid(error)
             return
         if record.holder == holder:
             await self._acquire_term(found)
--- a/packages/gateway/peridot_gateway/followers.py
+++ b/packages/gateway/peridot_gateway/followers.py
@@ -85,6 +85,8 @@
         self.changed = ChangeSignal()
         # Number of failed calls since the last response.
         self.failures = 0
+        # Number of objects that couldn't be read or parsed so far.
+        self.invalid_objects = 0
 
     @abstractmethod
     def replace_all(self, objects: tuple[StoredObject, ...], revision: int) -> None:
@@ -133,6 +135,7 @@
         self.changes_not_before = self.previous_current_at
         self.revision = outcome.revision
         self._record_versions(outcome.objects)
+        self._record_unreadable(outcome.unreadable)
         self.replace_all(outcome.objects, outcome.revision)
         self.loaded = True
         self.changed.notify()
@@ -162,6 +165,7 @@
         )
         self.revision = max(self.revision, outcome.revision)
         self._record_versions(outcome.changes)
+        self._record_unreadable(outcome.unreadable)
         for change in outcome.changes:
             self.apply(change)
         if outcome.changes:
@@ -240,6 +244,11 @@
         versions = (change.version for change in changes)
         self.newest_version = max(self.newest_version, *versions, 0)
 
+    def _record_unreadable(self, reasons: Iterable[str]) -> None:
+        for reason in reasons:
+            self.invalid_objects += 1
+            self.log.write("object_unreadable", kind=self.kind, reason=reason)
+
     async def _wait_before_retry(self) -> None:
         """Wait for longer after each failure, but not while changes are missing."""
         delay_s = RETRY_DELAY_S * 2 ** min(self.failures, 8)
--- a/packages/gateway/peridot_gateway/sources.py
+++ b/packages/gateway/peridot_gateway/sources.py
@@ -35,6 +35,7 @@
         try:
             configuration = self.dialect.parse_configuration(change.value)
         except InvalidObject as error:
+            self.invalid_objects += 1
             self.log.write(
                 "configuration_invalid", reason=error, kept=self.configuration.version
             )
--- a/packages/gateway/peridot_gateway/targets.py
+++ b/packages/gateway/peridot_gateway/targets.py
@@ -195,6 +195,7 @@
         try:
             target = self.dialect.parse_target(item.name, item.value)
         except InvalidObject as error:
+            self.invalid_objects += 1
             self.log.write("target_invalid", target=item.name, reason=error)
             self.targets.pop(item.name, None)
             self.leaving_since.pop(item.name, None)
--- a/packages/objects/peridot_objects/http_objects.py
+++ b/packages/objects/peridot_objects/http_objects.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator, Collection
 from contextlib import asynccontextmanager
+from functools import partial
 
 import orjson
 from aiohttp import (
@@ -12,7 +13,13 @@
     ClientTimeout,
 )
 
-from peridot_objects.codec import parse_change
+from peridot_objects.codec import MAX_VERSION, parse_change
+from peridot_objects.documents import (
+    PARSE_ERRORS,
+    load_document,
+    parse_items,
+    parse_revision,
+)
 from peridot_objects.objects import ObjectStore
 from peridot_objects.outcomes import (
     Conflict,
@@ -33,7 +40,7 @@
 CALL_TIMEOUT_S = 2.0
 # Added to the timeout of a watch, for the response that ends it.
 WATCH_MARGIN_S = 2.0
-CALL_ERRORS = (ClientError, TimeoutError, OSError, ValueError, KeyError)
+CALL_ERRORS = (ClientError, TimeoutError, OSError, *PARSE_ERRORS)
 
 
 class HttpObjectStore(ObjectStore):
@@ -48,9 +55,12 @@
             async with self._call("GET", "/objects", _kinds_query(kinds)) as response:
                 if response.status != 200:
                     return StoreUnavailable(f"status {response.status}")
-                data = orjson.loads(await response.read())
-                objects = tuple(parse_change(item) for item in data["objects"])
-                return Listing(data["revision"], objects)
+                data = load_document(await response.read())
+                revision = parse_revision(data["revision"], MAX_VERSION)
+                objects, unreadable = parse_items(
+                    data["objects"], partial(parse_change, limit=revision)
+                )
+                return Listing(revision, objects, unreadable)
         except CALL_ERRORS as error:
             return StoreUnavailable(repr(error))
 
@@ -61,7 +71,7 @@
                     return Missing()
                 if response.status != 200:
                     return StoreUnavailable(f"status {response.status}")
-                return parse_change(orjson.loads(await response.read()))
+                return parse_change(load_document(await response.read()))
         except CALL_ERRORS as error:
             return StoreUnavailable(repr(error))
 
@@ -87,9 +97,12 @@
                     return RevisionTooOld()
                 if response.status != 200:
                     return StoreUnavailable(f"status {response.status}")
-                data = orjson.loads(await response.read())
-                changes = tuple(parse_change(item) for item in data["changes"])
-                return WatchBatch(data["revision"], changes)
+                data = load_document(await response.read())
+                revision = parse_revision(data["revision"], MAX_VERSION)
+                changes, unreadable = parse_items(
+                    data["changes"], partial(parse_change, limit=revision)
+                )
+                return WatchBatch(revision, changes, unreadable)
         except CALL_ERRORS as error:
             return StoreUnavailable(repr(error))
 
--- a/packages/objects/peridot_objects/outcomes.py
+++ b/packages/objects/peridot_objects/outcomes.py
@@ -34,6 +34,8 @@
 
     revision: int
     objects: tuple[StoredObject, ...]
+    # Why further objects can't be read, not even their names.
+    unreadable: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -42,6 +44,8 @@
 
     revision: int
     changes: tuple[Change, ...]
+    # Why further changes can't be read, not even the names of their objects.
+    unreadable: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/packages/objects/peridot_objects/versions.py
+++ b/packages/objects/peridot_objects/versions.py
@@ -5,6 +5,7 @@
 """
 
 REVISION_BITS = 40
+MAX_REVISION = (1 << REVISION_BITS) - 1
 
 
 def compose_version(era: int, revision: int) -> int:
@@ -19,4 +20,4 @@
 
 def version_revision(version: int) -> int:
     """Return the revision of a version within its era."""
-    return version & (1 << REVISION_BITS) - 1
+    return version & MAX_REVISION
--- a/packages/objects/peridot_objects/vms.py
+++ b/packages/objects/peridot_objects/vms.py
@@ -7,6 +7,13 @@
 import orjson
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
+from peridot_objects.documents import (
+    PARSE_ERRORS,
+    load_document,
+    parse_items,
+    parse_name,
+)
+
 CALL_TIMEOUT_S = 2.0
 
 
@@ -32,6 +39,8 @@
     """The VMs that the platform lists; the list lags by some seconds."""
 
     vms: tuple[VmRecord, ...]
+    # Why further VMs can't be read.
+    unreadable: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -78,8 +87,8 @@
             async with self.session.get(f"{self.url}/vms", timeout=timeout) as response:
                 if response.status != 200:
                     return VmListUnavailable(f"status {response.status}")
-                return VmListing(parse_vms(await response.read()))
-        except (ClientError, TimeoutError, OSError, ValueError, KeyError) as error:
+                return parse_vms(await response.read())
+        except (ClientError, TimeoutError, OSError, *PARSE_ERRORS) as error:
             return VmListUnavailable(repr(error))
 
 
@@ -88,14 +97,15 @@
     return orjson.dumps({"vms": vms})
 
 
-def parse_vms(text: bytes) -> tuple[VmRecord, ...]:
-    """Return the VM list that a JSON document describes."""
-    return tuple(
-        VmRecord(
-            item["name"],
-            item["data_centre"],
-            item["peer_address"],
-            VmState(item["state"]),
-        )
-        for item in orjson.loads(text)["vms"]
+def parse_vms(text: bytes) -> VmListing:
+    """Return the VMs that a JSON document describes."""
+    return VmListing(*parse_items(load_document(text)["vms"], _parse_vm))
+
+
+def _parse_vm(item: dict) -> VmRecord:
+    return VmRecord(
+        parse_name(item["name"]),
+        parse_name(item["data_centre"]),
+        parse_name(item["peer_address"]),
+        VmState(item["state"]),
     )
--- a/packages/ownership/peridot_ownership/record.py
+++ b/packages/ownership/peridot_ownership/record.py
@@ -5,6 +5,7 @@
 
 import orjson
 
+from peridot_objects.documents import PARSE_ERRORS
 from peridot_ownership.errors import InvalidRecord
 from peridot_ownership.ranges import KEY_SPACE, KeyRange, OwnedRange, RangeTable
 
@@ -16,6 +17,8 @@
 # The terms of an era of the store start at the era times this: a record of an earlier
 # era may have lost terms, whose numbers must not be issued again.
 TERMS_PER_ERA = 1 << 18
+# Terms and fencing tokens are unsigned numbers of 64 bits in messages between VMs.
+MAX_WHOLE = 2**63 - 1
 
 
 @dataclass(frozen=True)
@@ -122,25 +125,45 @@
     try:
         data = orjson.loads(text)
         return PlacementRecord(
-            int(data["term"]),
-            DaemonInstance(data["vm"], data["instance"], data["address"]),
-            int(data["beat"]),
-            int(data["lastFence"]),
+            _check_whole(data["term"]),
+            DaemonInstance(
+                *(_check_text(data[name]) for name in ("vm", "instance", "address"))
+            ),
+            _check_whole(data["beat"]),
+            _check_whole(data["lastFence"]),
             {name: _parse_table(rows) for name, rows in data["tables"].items()},
             Certainty(data.get("certainty", Certainty.CERTAIN)),
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except PARSE_ERRORS as error:
         raise InvalidRecord(repr(error)) from error
 
 
 def _parse_table(rows: list) -> RangeTable:
-    starts = [int(row[0]) for row in rows]
+    starts = [_check_whole(row[0], KEY_SPACE - 1) for row in rows]
     if not starts or starts[0] != 0 or starts != sorted(set(starts)):
         raise ValueError("the ranges don't start at 0 or aren't sorted")
     ends = [*starts[1:], KEY_SPACE]
     return RangeTable(
         [
-            OwnedRange(KeyRange(start, end), row[1], int(row[2]))
+            OwnedRange(
+                KeyRange(start, end),
+                None if row[1] is None else _check_text(row[1]),
+                _check_whole(row[2]),
+            )
             for start, end, row in zip(starts, ends, rows, strict=True)
         ]
     )
+
+
+def _check_text(value: object) -> str:
+    if not isinstance(value, str):
+        raise TypeError("not text")
+    return value
+
+
+def _check_whole(value: object, limit: int = MAX_WHOLE) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise TypeError("not a whole number")
+    if not 0 <= value <= limit:
+        raise ValueError(f"not from 0 to {limit}")
+    return value
--- a/packages/placement/peridot_placement/assignments.py
+++ b/packages/placement/peridot_placement/assignments.py
@@ -5,7 +5,10 @@
 
 import orjson
 
+from peridot_objects.codec import MAX_VERSION
+from peridot_objects.documents import PARSE_ERRORS, parse_name, parse_revision
 from peridot_placement.slices import HomeTable, SliceTable
+from peridot_resources.errors import InvalidObject
 
 
 @dataclass(frozen=True)
@@ -54,22 +57,27 @@
 
 
 def parse_assignment(text: bytes) -> Assignment:
-    """Return the assignment in a JSON document."""
-    fields = orjson.loads(text)
-    table = SliceTable(
-        fields["targets"],
-        array("Q", fields["starts"]),
-        array("i", fields["owners"]),
-        array("i", fields["nextOwners"]),
-    )
-    return Assignment(
-        fields["service"],
-        fields["dataCentre"],
-        fields["term"],
-        fields["sequence"],
-        fields["writeId"],
-        table,
-    )
+    """Return the assignment in a JSON document; raise InvalidObject."""
+    try:
+        fields = orjson.loads(text)
+        if not isinstance(fields["writeId"], str):
+            raise TypeError("writeId is not text")
+        table = SliceTable(
+            [parse_name(name) for name in fields["targets"]],
+            array("Q", fields["starts"]),
+            array("i", fields["owners"]),
+            array("i", fields["nextOwners"]),
+        )
+        return Assignment(
+            parse_name(fields["service"]),
+            parse_name(fields["dataCentre"]),
+            parse_revision(fields["term"], MAX_VERSION),
+            parse_revision(fields["sequence"], MAX_VERSION),
+            fields["writeId"],
+            table,
+        )
+    except (*PARSE_ERRORS, OverflowError) as error:
+        raise InvalidObject(repr(error)) from error
 
 
 def serialize_home(home: HomeTable) -> bytes:
@@ -78,6 +86,12 @@
 
 
 def parse_home(text: bytes) -> HomeTable:
-    """Return the home table in a JSON document."""
-    fields = orjson.loads(text)
-    return HomeTable(tuple(fields["starts"]), tuple(fields["dataCentres"]))
+    """Return the home table in a JSON document; raise InvalidObject."""
+    try:
+        fields = orjson.loads(text)
+        return HomeTable(
+            tuple(parse_revision(start, MAX_VERSION) for start in fields["starts"]),
+            tuple(parse_name(name) for name in fields["dataCentres"]),
+        )
+    except PARSE_ERRORS as error:
+        raise InvalidObject(repr(error)) from error
--- a/packages/placement/peridot_placement/placer.py
+++ b/packages/placement/peridot_placement/placer.py
@@ -5,10 +5,11 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import asynccontextmanager, contextmanager
+from typing import TypeVar
 
-from peridot_objects.outcomes import Listing
+from peridot_objects.outcomes import Listing, StoredObject
 from peridot_placement.assignments import (
     parse_assignment,
     parse_home,
@@ -26,10 +27,12 @@
 from peridot_placement.slices import HashRange
 from peridot_placement.terms import PERMIT_S, DaemonInstance
 from peridot_resources.catalog import Kind
+from peridot_resources.errors import InvalidObject
 from peridot_wire import peridot_pb2 as pb
 
 MAINTENANCE_PERIOD_S = 0.1
 LIST_RETRY_S = 0.02
+T = TypeVar("T")
 
 
 class Placer:
@@ -165,14 +168,12 @@
         else:
             return
         homes = {
-            item.name: parse_home(item.value)
-            for item in listing.objects
-            if item.kind == Kind.HOME
+            item.name: home
+            for item, home in self._parse_listed(listing, Kind.HOME, parse_home)
         }
-        for item in listing.objects:
-            if item.kind != Kind.ASSIGNMENT:
-                continue
-            assignment = parse_assignment(item.value)
+        for item, assignment in self._parse_listed(
+            listing, Kind.ASSIGNMENT, parse_assignment
+        ):
             if assignment.data_centre != self.placement.data_centre:
                 continue
             if assignment.service not in homes:
@@ -192,6 +193,24 @@
         )
         self.placement.publish()
 
+    def _parse_listed(
+        self, listing: Listing, kind: Kind, parse: Callable[[bytes], T]
+    ) -> Iterator[tuple[StoredObject, T]]:
+        """Yield the valid objects of a kind with their parsed forms.
+
+        A service whose assignment is invalid gets no other: the first write for it
+        expects that none is stored.
+        """
+        for item in listing.objects:
+            if item.kind != kind:
+                continue
+            try:
+                yield item, parse(item.value)
+            except InvalidObject as error:
+                self.placement.log.write(
+                    "object_refused", kind=kind, name=item.name, reason=error
+                )
+
     def _inherited_moves(self, state: ServiceState) -> dict[int, PendingMove]:
         """Return the moves that an earlier placer started."""
         now = boot_time()
--- a/packages/resources/peridot_resources/catalog.py
+++ b/packages/resources/peridot_resources/catalog.py
@@ -6,6 +6,14 @@
 
 from peridot_resources.errors import InvalidObject
 
+INVALID_FIELD_ERRORS = (
+    ValueError,
+    LookupError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+)
+
 
 class Kind(StrEnum):
     """The kinds of stored objects."""
@@ -106,7 +114,7 @@
             idempotent_paths=tuple(spec["idempotentPaths"]),
             policy=str(spec["policy"]),
         )
-    except (KeyError, TypeError, AttributeError) as error:
+    except INVALID_FIELD_ERRORS as error:
         raise InvalidObject(f"Service/{name}: {error!r}") from error
 
 
@@ -123,7 +131,7 @@
             checks_grants=bool(spec["checksGrants"]),
             leaving=bool(spec["leaving"]),
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except INVALID_FIELD_ERRORS as error:
         raise InvalidObject(f"Target/{name}: {error!r}") from error
 
 
@@ -149,5 +157,5 @@
             imbalance_weight=float(spec["weights"]["imbalance"]),
             churn_weight=float(spec["weights"]["churn"]),
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except INVALID_FIELD_ERRORS as error:
         raise InvalidObject(f"RoutingPolicy/{name}: {error!r}") from error
