--- a/packages/fakes/tests/test_adapter.py
+++ b/packages/fakes/tests/test_adapter.py
@@ -95,8 +95,11 @@
         "service": "files",
         "address": "127.0.0.1:1",
         "zone": "a",
+        "version": "v1",
         "slots": 3,
         "state": "ready",
+        "warmupLeftS": 0,
+        "seq": 1,
         "born": 5,
     }
     assert parse_target("t", orjson.dumps(data)).started_ms == 5
--- a/packages/fakes/tests/test_unreadable_objects.py
+++ b/packages/fakes/tests/test_unreadable_objects.py
@@ -57,7 +57,7 @@
     "another type": b'{"a":[]}',
 }
 # The field that a bad value replaces; "" is the whole object.
-PLACES = ("", "metadata", "name", "revision", "spec", "slots")
+PLACES = ("", "metadata", "name", "revision", "spec", "version", "slots")
 
 
 def compose_item(name: str, place: str | None = None, bad: bytes = b"") -> bytes:
