--- a/packages/fakes/tests/test_adapter.py
+++ b/packages/fakes/tests/test_adapter.py
@@ -284,7 +284,8 @@
 
 def test_malformed_settings_files_are_refused(tmp_path):
     path = tmp_path / "node.json"
-    for text in ("", "{", "{}", "[]"):
+    no_ports = '{"bounds": [], "internalPortRange": [], "platform": {"address": ""}}'
+    for text in ("", "{", "{}", "[]", no_ports):
         path.write_text(text)
         with pytest.raises(InvalidSettingsFile):
             load_settings(path, 1)
