Take only statuses from 200 to 599 for responses

Cause: aiohttp takes any three digits for a status, and 101 without an upgrade as a final response. A status line with 000 was passed to the caller as status 0; so were 099, 101 and 600 to 999. Not-Run or X-Not-Executed in such a head made a refusal of it, although nothing says whether the request ran.

Change: is_final_status (peridot_objects.connections) is asked before anything else of a response is read. The outcome of the attempt is unknown (502 to the caller) and counts as a failure of the target. 100, 102 and 103 to 199 are interim for aiohttp: they end as a lost connection or at the deadline, unknown as before.

Same class elsewhere: calls for leases took Server-Leaving, and calls to the store took Store-Era, from such a head; both answer as unanswered or unavailable now, and writes as unknown. The range check of messages between peridotd's VMs uses the same function. The other clients (store and VM list of peridotd, its grants, peridotctl) compare the status with 200. Numbers in headers were read by int() and float(), which also take digits of other scripts, underscores and exponents; only ASCII digits are read now.

--- a/packages/daemon/peridot_daemon/messages.py
+++ b/packages/daemon/peridot_daemon/messages.py
@@ -3,6 +3,7 @@
 from functools import singledispatch
 from time import monotonic
 
+from peridot_objects.connections import is_final_status
 from peridot_objects.outcomes import Change, DeletedObject, StoredObject
 from peridot_objects.vms import VmRecord, VmState
 from peridot_placement.hashing import hash_key
@@ -12,10 +13,6 @@
 from peridot_routing.requests import PossibleRun, RoutedRequest
 from peridot_wire import peridot_pb2 as pb
 
-# HTTP statuses that a response may have.
-MIN_STATUS = 200
-MAX_STATUS = 599
-
 
 class InvalidMessage(Exception):
     """Raised for a malformed message of a peer."""
@@ -113,7 +110,7 @@
 def parse_outcome(reply: pb.ForwardReply) -> Outcome:
     """Return the outcome in a message; raise InvalidMessage."""
     if reply.outcome == pb.ANSWERED:
-        if not MIN_STATUS <= reply.status <= MAX_STATUS:
+        if not is_final_status(reply.status):
             raise InvalidMessage(f"status {reply.status} is out of range")
         return Answered(reply.status, _parse_headers(reply), reply.body, reply.target)
     reason_name, _, detail = reply.reason.partition(" ")
--- a/packages/fakes/tests/test_adapter.py
+++ b/packages/fakes/tests/test_adapter.py
@@ -143,6 +143,10 @@
         ("-1", None),
         ("nan", None),
         ("inf", None),
+        ("1_0", None),
+        ("\u0661", None),
+        ("1e300", None),
+        ("000", 0.0),
         ("soon", None),
         ("Fri, 04 Dec 2026 15:00:00 GMT", None),
         ("", None),
@@ -160,7 +164,7 @@
     assert parse(429, {"Retry-After": text}, request).pause_s == 0.0
 
 
-@pytest.mark.parametrize("text", ["9" * 4_301, "-1", "x", "1.5", ""])
+@pytest.mark.parametrize("text", ["9" * 4_301, "-1", "x", "1.5", "", "\u0661"])
 def test_malformed_numbers_in_headers_of_callers_count_as_missing(text):
     """int() raises an error for texts of more than 4,300 digits."""
     headers = {"X-Request-Deadline-Ms": text, "X-Shard-Key": text}
@@ -583,3 +587,42 @@
         assert outcome == Unanswered("response to another call")
 
     run_with_lease_target(scenario)
+
+
+NO_RESPONSES = [b"000 X", b"099 X", b"101 Switching Protocols", b"600 X", b"999 X"]
+
+
+# Guards against beliefs that change by what is no response, and by its headers.
+@pytest.mark.parametrize("status", NO_RESPONSES)
+def test_a_status_that_is_none_is_no_answer_to_a_call(status):
+    head = b"HTTP/1.1 %s\r\nServer-Leaving: 1\r\nStore-Era: 5\r\n" % status
+
+    async def serve(reader, writer):
+        await reader.read(65_536)
+        writer.write(head + b"Content-Length: 0\r\n\r\n")
+        with suppress(ConnectionError):
+            await reader.read()
+        writer.close()
+
+    async def run():
+        (port,) = free_ports(1)
+        store, lease_client = (
+            PlatformObjectStore(f"127.0.0.1:{port}"),
+            PlatformLeaseClient(),
+        )
+        leaving = []
+        lease_client.handle_leaving = leaving.append
+        target = TargetInstance("t", "s", f"127.0.0.1:{port}", "a", 3, False, 0.0)
+        async with await asyncio.start_server(serve, "127.0.0.1", port):
+            assert isinstance(await store.list(["servers"]), StoreUnavailable)
+            assert isinstance(await store.write("k", "a", b"{}", 0), WriteUnknown)
+            granted = await lease_client.grant(target, Grant(ALL_KEYS, 1, 2.5), 1.0)
+            released = await lease_client.release(target, ALL_KEYS, 1, 1.0)
+            assert isinstance(granted, Unanswered) and isinstance(released, Unanswered)
+            await store.close()
+            await lease_client.close()
+            # The connections' tasks end.
+            await asyncio.sleep(0.02)
+        assert (store.era, leaving) == (0, [])
+
+    asyncio.run(run())
--- a/packages/gateway/peridot_gateway/sender.py
+++ b/packages/gateway/peridot_gateway/sender.py
@@ -34,6 +34,7 @@
     open_connector,
     use_connection,
 )
+from peridot_objects.connections import is_final_status
 from peridot_placement.decisions import DecisionLog
 from peridot_resources.configuration import ServiceConfiguration, TargetInstance
 from peridot_routing.attempts import AIOHTTP_AUTO_HEADERS, BODYLESS_STATUSES
@@ -349,6 +350,11 @@
     async def _read_response(
         self, response: ClientResponse, request: GatewayRequest, target: TargetInstance
     ) -> AttemptResult:
+        if not is_final_status(response.status):
+            response.close()
+            return AttemptResult(
+                Unknown(Reason.TORN_ANSWER, f"status {response.status}")
+            )
         response_headers = self.dialect.parse_response_headers(
             response.status, response.headers, request
         )
--- a/packages/gateway/peridot_gateway/sockets.py
+++ b/packages/gateway/peridot_gateway/sockets.py
@@ -10,14 +10,16 @@
 
 from aiohttp import AddrInfoType, ClientPayloadError, ClientResponse
 
-from peridot_objects.connections import QuietConnector, QuietResponseHandler
+from peridot_objects.connections import (
+    FIRST_FINAL_STATUS,
+    QuietConnector,
+    QuietResponseHandler,
+)
 
 # Closing resets the connection (SO_LINGER with a timeout of 0): a request that is still
 # in the socket buffer during a partition must not arrive after its sender gave it up.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
-
-FIRST_FINAL_STATUS = 200
 # Bytes of the head, interim responses included; targets' heads have some hundred bytes.
 MAX_HEAD_BYTES = 256 * 2**10
 # Bytes of a response with its head and framing: a little over the largest body.
--- a/packages/gateway/tests/test_sender.py
+++ b/packages/gateway/tests/test_sender.py
@@ -149,3 +149,24 @@
             assert result.outcome.body == body
 
     asyncio.run(scenario())
+
+
+# Guards against responses that are none: aiohttp takes any three digits, and 101 also
+# without an upgrade. Nothing says whether the request ran.
+@pytest.mark.parametrize("status", [b"000", b"099", b"101", b"600", b"999"])
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_a_status_that_is_none_is_an_unknown_outcome_and_a_failure(
+    status, idempotent, make_request, make_target
+):
+    async def scenario():
+        start = b"HTTP/1.1 %s X\r\nContent-Length: 2\r\n\r\nok" % status
+        async with serve_raw_target(EndlessTarget(start), make_target) as parts:
+            sender, target = parts
+            request = make_request(idempotent, remaining_s=REMAINING_S)
+            result = await sender.attempt(request, target, REMAINING_S)
+            detail = f"status {int(status)}"
+            assert result.outcome == Unknown(Reason.TORN_ANSWER, detail)
+            estimate = sender.estimates.get(target.name)
+            assert estimate.failed == 1
+
+    asyncio.run(scenario())
--- a/packages/objects/peridot_objects/connections.py
+++ b/packages/objects/peridot_objects/connections.py
@@ -7,6 +7,18 @@
 from aiohttp import ClientSession, DummyCookieJar, TCPConnector
 from aiohttp.client_proto import ResponseHandler
 
+# Statuses of complete responses, the last one included.
+FIRST_FINAL_STATUS = 200
+LAST_STATUS = 599
+
+
+def is_final_status(status: int) -> bool:
+    """Return whether a status can be that of a response.
+
+    aiohttp takes any three digits, and 101 also without an upgrade.
+    """
+    return FIRST_FINAL_STATUS <= status <= LAST_STATUS
+
 
 class QuietResponseHandler(ResponseHandler):
     """Close an idle connection on which bytes arrive: they belong to no request.
--- a/packages/routing/peridot_routing/attempts.py
+++ b/packages/routing/peridot_routing/attempts.py
@@ -20,7 +20,7 @@
 )
 from yarl import URL
 
-from peridot_objects.connections import QuietConnector
+from peridot_objects.connections import QuietConnector, is_final_status
 from peridot_resources.catalog import Target
 from peridot_routing.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from peridot_routing.requests import RoutedRequest, end_to_end_headers
@@ -160,6 +160,9 @@
 async def _read_response(
     response: ClientResponse, request: RoutedRequest, target: Target
 ) -> Outcome:
+    if not is_final_status(response.status):
+        response.close()
+        return Unknown(Reason.TORN_ANSWER, f"status {response.status}")
     not_run = response.headers.get("Not-Run")
     if not_run is not None:
         detail = await _drain_refusal(response, request, not_run)
--- a/packages/routing/tests/test_attempts.py
+++ b/packages/routing/tests/test_attempts.py
@@ -268,3 +268,13 @@
     assert raw.received.count(b"Key-Hash: 0000000000000001") == 1
     assert b"Grant-Epoch: 1.1" in raw.received
     assert POLICY.max_answer_bytes == 1000
+
+
+# Guards against responses that are none: aiohttp takes any three digits, and 101 also
+# without an upgrade.
+@pytest.mark.parametrize("status", [b"000", b"099", b"101", b"600", b"999"])
+@pytest.mark.parametrize("header", [b"X: y", b"Not-Run: shed"])
+def test_a_status_that_is_none_is_an_unknown_outcome(status, header):
+    response = COMPLETE.replace(b"200 OK", status + b" X").replace(b"X: y", header)
+    outcome = attempt(RawTarget(response), make_non_idempotent_request())
+    assert outcome == Unknown(Reason.TORN_ANSWER, f"status {int(status)}")
