--- a/packages/fakes/tests/test_adapter.py
+++ b/packages/fakes/tests/test_adapter.py
@@ -23,7 +23,7 @@
     Written,
 )
 from peridot_ownership.holds import Grant, Granted, Outranked, Released, Unanswered
-from peridot_ownership.ranges import ALL_KEYS
+from peridot_ownership.ranges import ALL_KEYS, KeyRange
 from peridot_platform import store as store_module
 from peridot_platform.configuration import parse_configuration
 from peridot_platform.dialect import PlatformDialect
@@ -566,6 +566,28 @@
     run_with_lease_target(scenario)
 
 
+# Guards against keys being granted elsewhere while their owner still works: a copy of
+# the response to the release before, on the same kept connection.
+def test_a_copy_of_a_releases_response_is_not_that_to_the_next_release():
+    async def scenario(fake, lease_client, target):
+        low, high = KeyRange(0, 100), KeyRange(100, 200)
+        assert await lease_client.grant(target, Grant(low, 1, 2.5), 1.0) == Granted()
+        fake.accepts_connections = False
+        released = await lease_client.release(target, low, 1, 1.0)
+        assert released == Released("token")
+        fake.copy = b"HTTP/1.1 200 OK\r\nX-Handover: token\r\nContent-Length: 0\r\n\r\n"
+        released = await lease_client.release(target, high, 1, 1.0)
+        assert released == Unanswered("response to another call")
+        assert set(fake.used) == {1}
+        # The connection is closed, so nothing else on it counts either.
+        fake.accepts_connections, fake.copy = True, b""
+        released = await lease_client.release(target, high, 1, 1.0)
+        assert released == Released("token")
+        assert fake.used[-1] == 2
+
+    run_with_lease_target(scenario)
+
+
 # Guards against the copy of a response to a release on a kept connection.
 def test_a_response_with_a_token_is_not_that_to_a_grant():
     async def scenario(fake, lease_client, target):
