Try targets that failed and lost their keys again

Cause: failing_since and replaced were reset by the outcome of a grant only, and a target without keys got none: it was left out of all plans until the term of the placer ended. Once all targets of a service had failed, keys had no owner beside targets that were sound again.

The move of a trial is an ordinary one: it waits for the lease of the last owner. A new start (started_ms) drops the evidence.

The same class elsewhere, by reading: peridotd probes targets without keys all the time; the gateway's marks of avoided, paused and gone targets and of avoided VMs all end by time. TargetState.leaving_since is never reset: a target that leaves no more loses the grace for its next leaving, no keys.

--- a/packages/ownership/peridot_ownership/granter.py
+++ b/packages/ownership/peridot_ownership/granter.py
@@ -27,6 +27,7 @@
     LONG_LEASE_S,
     EarlierLeases,
 )
+from peridot_ownership.trials import FailureHistory
 from peridot_placement.clock import boot_time
 from peridot_placement.decisions import DecisionLog
 from peridot_resources.configuration import TargetInstance
@@ -50,6 +51,7 @@
     failing_since: float | None = None
     # Another incarnation answered the last renewal.
     replaced: bool = False
+    failures: FailureHistory = field(default_factory=FailureHistory)
     # First key of the range at which the last renewal of all leases stopped, or -1.
     stopped_at: int = -1
     leaving_since: float | None = None
@@ -68,6 +70,11 @@
             kept = [item for item in self.accepted_ranges if item.minus([keys])]
             self.accepted_ranges = [*kept, keys]
 
+    def forget_failures(self) -> None:
+        """Drop the evidence of failures, which is about an earlier start."""
+        self.failing_since, self.replaced = None, False
+        self.failures = FailureHistory()
+
     def is_failing(self, now: float) -> bool:
         """Return whether the target is gone or its renewals fail for too long (s)."""
         since = self.failing_since
@@ -187,8 +194,12 @@
         if isinstance(outcome, Granted | Outranked):
             if state.failing_since is not None:
                 self.log.write("target_regained", target=state.target.name)
+                state.failures.regained_at = now
             state.failing_since = None
-        elif state.failing_since is None:
+            return
+        is_first = state.failing_since is None
+        state.failures.record_failure(now, is_first)
+        if is_first:
             state.failing_since = now
             self.log.write(
                 "target_failing",
--- a/packages/ownership/peridot_ownership/placer.py
+++ b/packages/ownership/peridot_ownership/placer.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable, Coroutine, Iterator
 from contextlib import asynccontextmanager, contextmanager
+from dataclasses import replace
 from functools import partial
 
 from peridot_ownership.errors import TermLost
@@ -18,6 +19,7 @@
 from peridot_ownership.record import Certainty, PlacementRecord
 from peridot_ownership.recorder import CONFIRMATION_TIMEOUT_S, RecordWriter
 from peridot_ownership.rights import EarlierLeases, bound_earlier_leases
+from peridot_ownership.trials import FailureHistory, TrialInput, plan_trials
 from peridot_ownership.view import FleetView
 from peridot_placement.clock import boot_time
 from peridot_placement.decisions import DecisionLog
@@ -79,6 +81,8 @@
         record_writer.handle_restore = self._expect_lost_term
         self.target_states: dict[str, TargetState] = {}
         self.moving: dict[str, list[KeyRange]] = {}
+        # Where the moves in progress lead to.
+        self.destinations: list[str] = []
         # Moves that have ended, by service, and until when (s) no keys return.
         self.recent_moves: dict[str, list[tuple[RangeMove, float]]] = {}
         self.tasks: set[asyncio.Task] = set()
@@ -184,6 +188,7 @@
                     )
                 elif state.target.started_ms != target.started_ms:
                     state.target = target
+                    state.forget_failures()
                     self._reassign_after_restart(state)
                 else:
                     state.target = target
@@ -215,9 +220,13 @@
             self._find_given_away(service),
         )
         self._log_balance(service, plan)
-        for move in plan_moves(plan):
+        trials = self._plan_trials(service, plan)
+        moving = (*plan.moving, *(trial.keys for trial in trials))
+        for move in [*trials, *plan_moves(replace(plan, moving=moving))]:
             if self._should_postpone(move):
                 continue
+            if move.reason == "trial":
+                self.target_states[move.destination].failures.trials += 1
             self.log.write(
                 "move",
                 service=service,
@@ -282,18 +291,46 @@
             capacities[target.name] = target.slots / processing_s
         return capacities
 
+    def _plan_trials(self, service: str, plan: PlanInput) -> list[RangeMove]:
+        """Return moves of small ranges to targets that failed and have no keys."""
+        now = boot_time()
+        failing = self._find_failing(service, now)
+        if not failing:
+            return []
+        trials = TrialInput(
+            plan.table,
+            plan.profile,
+            plan.capacities,
+            failing,
+            plan.moving,
+            self.destinations,
+        )
+        return plan_trials(trials, now)
+
+    def _find_failing(self, service: str, now: float) -> dict[str, FailureHistory]:
+        """Return the targets that are unusable for no other reason than failures."""
+        return {
+            target.name: state.failures
+            for target in self.view.targets_of(service)
+            if (state := self.target_states.get(target.name)) is not None
+            and state.is_failing(now)
+            and not target.leaving
+            and not self.view.is_address_reused(target)
+        }
+
     # Moves.
 
     def _start_move(self, service: str, move: RangeMove) -> None:
         """Start a move and mark its keys as moving."""
         self.moving.setdefault(service, []).append(move.keys)
+        self.destinations.append(move.destination)
         self._notify_change()
         self._spawn(partial(self._move, service, move))
 
     async def _move(self, service: str, move: RangeMove) -> None:
         """Revoke keys from their owner, store the new owner, then grant them to it."""
         started_at = boot_time()
-        with self._unmark_moving_on_exit(service, move.keys):
+        with self._unmark_moving_on_exit(service, move):
             await asyncio.sleep(ANNOUNCE_DELAY_S)
             handover = None
             if move.source is not None and move.source != move.destination:
@@ -335,12 +372,13 @@
         )
 
     @contextmanager
-    def _unmark_moving_on_exit(self, service: str, keys: KeyRange) -> Iterator[None]:
+    def _unmark_moving_on_exit(self, service: str, move: RangeMove) -> Iterator[None]:
         """Remove the mark of moving keys when the context ends."""
         try:
             yield
         finally:
-            self.moving[service].remove(keys)
+            self.moving[service].remove(move.keys)
+            self.destinations.remove(move.destination)
             self._notify_change()
 
     async def _revoke(self, source: str, keys: KeyRange) -> str | None:
--- a/packages/ownership/tests/test_placer.py
+++ b/packages/ownership/tests/test_placer.py
@@ -20,6 +20,7 @@
     placer as placer_module,
     recorder as recorder_module,
     rights as rights_module,
+    trials as trials_module,
 )
 from peridot_ownership.errors import TermLost
 from peridot_ownership.granter import UNUSABLE_AFTER_S
@@ -836,6 +837,53 @@
     assert unusable_s + next_renewal_s <= max_lease_s(rights_module.LEASE_S)
 
 
+# Guards against targets without keys for the rest of the term: only grants show that
+# they answer again, and they got none.
+@pytest.mark.parametrize("names", ["a b", "a b c"])
+def test_targets_that_failed_one_after_another_get_keys_again(names, monkeypatch):
+    monkeypatch.setattr(trials_module, "MIN_TRIAL_DELAY_S", 0.1)
+
+    async def check():
+        harness = PlacerHarness(names)
+        *first, last = names.split()
+        async with harness.run_placer("vm1") as placer:
+            await wait_until(
+                placer, lambda: harness.owners(placer) == set(names.split())
+            )
+            for name in first:
+                harness.lease_client.holder(name).reachable = False
+            await wait_until(placer, lambda: harness.owners(placer) == {last})
+            # No target is usable now, and the others have no keys.
+            harness.lease_client.holder(last).reachable = False
+            for name in first:
+                harness.lease_client.holder(name).reachable = True
+            await wait_until(placer, lambda: harness.owners(placer) == set(first), 4.0)
+        assert not harness.lease_client.violations
+
+    run(check())
+
+
+# Guards against the wait for a trial, or none at all, for a target that starts again.
+def test_a_new_start_of_a_target_resets_the_evidence_of_failure(monkeypatch):
+    monkeypatch.setattr(trials_module, "MIN_TRIAL_DELAY_S", 99.0)
+    monkeypatch.setattr(trials_module, "MAX_TRIAL_DELAY_S", 99.0)
+
+    async def check():
+        harness = PlacerHarness("a b")
+        async with harness.run_placer("vm1") as placer:
+            await wait_until(placer, lambda: harness.owners(placer) == {"a", "b"})
+            harness.lease_client.holder("a").reachable = False
+            await wait_until(placer, lambda: harness.owners(placer) == {"b"})
+            harness.lease_client.holder("a").reachable = True
+            await asyncio.sleep(0.2)
+            assert harness.owners(placer) == {"b"}
+            harness.view.change("a", started_ms=2)
+            await wait_until(placer, lambda: harness.owners(placer) == {"a", "b"})
+        assert not harness.lease_client.violations
+
+    run(check())
+
+
 def test_the_release_at_a_silent_target_is_waited_for_until_its_lease_ends(monkeypatch):
     """A call on a kept connection hangs, and delayed the move by its whole timeout."""
     monkeypatch.setattr(granter_module, "RELEASE_TIMEOUT_S", 3.0)
