Give calls to the store connections of their own

Cause: responses of the store carry no id. A late copy of one, after the next call was sent on the same connection, counted as the response to that: a write that was done as refused, a list of one kind as that of another, the changes of an earlier watch a second time or for another kind.

In peridotd and peridotctl all calls to the object API and the VM list have connections of their own.

The cost of the connections wasn't measured.

Open, by reading: empty batches of watches, renewals of leases on kept connections, grants, probes and repeatable requests of peridotd.

--- a/packages/ctl/peridot_ctl/main.py
+++ b/packages/ctl/peridot_ctl/main.py
@@ -128,7 +128,7 @@
     command: Callable[[CommandContext, list[str]], Awaitable[int]], arguments: list[str]
 ) -> int:
     """Run a command with a store and a session; return its exit code."""
-    async with open_session() as session:
+    async with open_session(force_close=True) as session:
         store = HttpObjectStore(session, flags.FLAGS.object_api)
         return await command(CommandContext(store, session), arguments)
 
--- a/packages/daemon/peridot_daemon/daemon.py
+++ b/packages/daemon/peridot_daemon/daemon.py
@@ -63,7 +63,10 @@
         self.tasks: list[asyncio.Task] = []
         tls = PeerTls(settings, log)
         session = await self.stack.enter_async_context(open_session())
-        store = HttpObjectStore(session, settings.object_api)
+        # Responses carry no id: on a kept connection, a late copy of one would count as
+        # that to the next call.
+        unpooled = await self.stack.enter_async_context(open_session(force_close=True))
+        store = HttpObjectStore(unpooled, settings.object_api)
         self.replica = Replica(log)
         self.tables = LocalTables()
         self.live_vm_list = LiveVmList()
@@ -127,7 +130,7 @@
         source = ReplicaSource(
             self.replica,
             store,
-            HttpVmList(session, settings.vm_list),
+            HttpVmList(unpooled, settings.vm_list),
             Vm(settings.vm, settings.peer_listener),
             settings.data_centre,
             settings.peers,
--- a/packages/daemon/tests/test_late_copies.py
+++ b/packages/daemon/tests/test_late_copies.py
@@ -23,13 +23,19 @@
     def __init__(self) -> None:
         self.calls = 0
         self.writer = None
+        # Whether a late copy comes before each further response on a connection.
+        self.copies = False
 
     async def serve(self, reader, writer) -> None:
         self.writer = writer
+        is_first = True
         with suppress(ConnectionError):
             while await reader.read(65_536):
+                if self.copies and not is_first:
+                    self.send_response()
                 self.calls += 1
                 self.send_response()
+                is_first = False
         writer.close()
 
     def send_response(self) -> None:
@@ -40,12 +46,12 @@
 
 
 @asynccontextmanager
-async def serve_numbers():
+async def serve_numbers(**options):
     (port,) = free_ports(1)
     server = NumberingServer()
     async with (
         await asyncio.start_server(server.serve, "127.0.0.1", port),
-        open_session() as session,
+        open_session(**options) as session,
     ):
         yield server, session, f"127.0.0.1:{port}"
 
@@ -64,6 +70,20 @@
     asyncio.run(run())
 
 
+# Guards against a write that counts as done though the store hasn't received it: the
+# copy comes after the next call was sent.
+def test_a_later_copy_of_a_response_is_not_taken_for_that_to_the_next_write():
+    async def run():
+        async with serve_numbers(force_close=True) as (server, session, address):
+            server.copies = True
+            store = HttpObjectStore(session, f"http://{address}")
+            for number in (1, 2, 3):
+                written = await store.write("kind", "a", b"{}", None)
+                assert written == Written(number)
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("is_read", [True, False])
 def test_a_copy_of_a_probe_is_not_taken_for_the_response_to_a_grant(is_read):
     async def run():
--- a/packages/fakes/tests/test_adapter.py
+++ b/packages/fakes/tests/test_adapter.py
@@ -19,6 +19,7 @@
     RevisionTooOld,
     StoredObject,
     StoreUnavailable,
+    WatchBatch,
     WriteUnknown,
     Written,
 )
@@ -539,6 +540,87 @@
     asyncio.run(run())
 
 
+class CopyingStore:
+    """A store that answers each further call on a connection with a copy first."""
+
+    def __init__(self, bodies) -> None:
+        self.bodies = iter(bodies)
+        self.connections = 0
+
+    async def serve(self, reader, writer) -> None:
+        self.connections += 1
+        response = b""
+        with suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                request = await reader.readuntil(b"\r\n\r\n")
+                length = int(read_header(request, "Content-Length") or 0)
+                await reader.readexactly(length)
+                writer.write(response)
+                status, body = next(self.bodies)
+                data = orjson.dumps(body)
+                head = b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n"
+                response = head % (status, len(data)) + data
+                writer.write(response)
+        writer.close()
+
+    def run(self, scenario) -> None:
+        async def run():
+            (port,) = free_ports(1)
+            store = PlatformObjectStore(f"127.0.0.1:{port}")
+            async with await asyncio.start_server(self.serve, "127.0.0.1", port):
+                await scenario(store)
+                await store.close()
+
+        asyncio.run(run())
+
+
+# Guards against a write that was done and counts as refused, or the reverse, and
+# against objects of one kind that are taken for those of another.
+def test_a_late_copy_is_not_the_response_to_the_next_call_to_the_store():
+    items = [{"metadata": {"name": "a", "revision": 2}, "spec": {}}]
+    fake = CopyingStore(
+        [
+            (503, {}),
+            (200, {"metadata": {"name": "a", "revision": 1}}),
+            (200, {"metadata": {"name": "a", "revision": 2}}),
+            (200, {"at": 2, "items": items, "hasMore": False}),
+            (200, {"at": 2, "items": [], "hasMore": False}),
+            (404, {}),
+            (200, items[0]),
+        ]
+    )
+
+    async def scenario(store):
+        assert isinstance(await store.write("k", "a", b"{}", None), StoreUnavailable)
+        assert await store.write("k", "a", b"{}", None) == Written(1)
+        assert await store.write("k", "a", b"{}", 1) == Written(2)
+        assert len((await store.list(["k"])).objects) == 1
+        assert (await store.list(["other"])).objects == ()
+        assert isinstance(await store.read("k", "b"), Missing)
+        assert isinstance(await store.read("k", "a"), StoredObject)
+
+    fake.run(scenario)
+
+
+# Guards against changes that are applied to another kind, or a second time.
+def test_a_late_copy_is_not_the_response_to_the_next_watch():
+    def batch(revision, kept=True):
+        metadata = {"name": "a", "revision": revision}
+        event = {"deleted": False, "object": {"metadata": metadata, "spec": {}}}
+        return 200, {"at": revision, "events": [event] if kept else []}
+
+    fake = CopyingStore([batch(5), batch(6, kept=False), batch(7), batch(8)])
+
+    async def scenario(store):
+        assert (await store.watch(["k"], 4, 0.5)).revision == 5
+        assert await store.watch(["other"], 4, 0.5) == WatchBatch(6, ())
+        found = await store.watch(["k"], 5, 0.5)
+        assert isinstance(found, StoreUnavailable)
+        assert (await store.watch(["k"], 5, 0.5)).revision == 8
+
+    fake.run(scenario)
+
+
 # Guards against keys without an owner until their lease ends: a server with as many
 # connections as it accepts resets that of the release.
 def test_a_release_at_a_server_that_resets_new_connections_uses_a_kept_one():
--- a/packages/objects/peridot_objects/connections.py
+++ b/packages/objects/peridot_objects/connections.py
@@ -74,6 +74,7 @@
         protocol.is_idle = True
 
 
-def open_session() -> ClientSession:
-    """Return a session for calls of one VM to other systems."""
-    return ClientSession(connector=QuietConnector(limit=0), cookie_jar=DummyCookieJar())
+def open_session(**options) -> ClientSession:
+    """Return a session for calls to other systems; its connector has some options."""
+    connector = QuietConnector(limit=0, **options)
+    return ClientSession(connector=connector, cookie_jar=DummyCookieJar())
