Pass large responses on while they arrive

Cause: responses were read whole before they were returned, so that a VM's memory bounded them at 32 MB together, and a download's first byte waited for its last. Change: responses over 64 KiB become streams with bounded buffers that are read ahead of the caller; limits of held bytes follow the memory limit of the process. Responses that break off abort the caller's connection.

--- a/packages/gateway/peridot_gateway/answers.py
+++ b/packages/gateway/peridot_gateway/answers.py
@@ -6,7 +6,7 @@
 
 # Far above any response of the operators' services (30 KB), far below a VM's memory.
 MAX_RESPONSE_BYTES = 4 * 2**20
-# All bodies that are being read: a sixth of the smallest VM's memory of 200 MB.
+# All bodies that are being read, unless the settings say otherwise.
 MAX_BUFFERED_BYTES = 32 * 2**20
 # Above that limit, bodies up to this size are still read: most are smaller.
 SMALL_RESPONSE_BYTES = 64 * 2**10
@@ -20,6 +20,7 @@
     """Read bodies and limit the bytes that are buffered in total."""
 
     buffered_bytes: int = 0
+    max_buffered_bytes: int = MAX_BUFFERED_BYTES
 
     async def read(self, response: ClientResponse) -> bytes | None:
         """Return a whole body, None if it is too large."""
@@ -41,4 +42,7 @@
     def _is_too_large(self, size: int) -> bool:
         if size > MAX_RESPONSE_BYTES:
             return True
-        return self.buffered_bytes > MAX_BUFFERED_BYTES and size > SMALL_RESPONSE_BYTES
+        return (
+            self.buffered_bytes > self.max_buffered_bytes
+            and size > SMALL_RESPONSE_BYTES
+        )
--- a/packages/gateway/peridot_gateway/bodies.py
+++ b/packages/gateway/peridot_gateway/bodies.py
@@ -9,7 +9,7 @@
 
 from peridot_routing.outcomes import NotRun, Reason
 
-# Bodies in memory at once; small VMs have 200 MB for everything.
+# Bodies in memory at once, unless the settings say otherwise.
 MAX_HELD_BYTES = 64 * 2**20
 # Retry-After while that many bytes are held: large bodies take about this long.
 HELD_RETRY_MS = 500
--- a/packages/gateway/peridot_gateway/daemon.py
+++ b/packages/gateway/peridot_gateway/daemon.py
@@ -22,6 +22,7 @@
 from peridot_gateway.fleetload import FleetLoad
 from peridot_gateway.ingress import Ingress
 from peridot_gateway.links import serve_fleet
+from peridot_gateway.memory import divide_memory
 from peridot_gateway.owners import Owners
 from peridot_gateway.picker import Picker
 from peridot_gateway.router import GatewayRouter, RouterParts
@@ -150,6 +151,13 @@
         self.ingress = Ingress(
             dialect, self.configuration, self.router, self.metrics, log, rng
         )
+        self._apply_memory_limits()
+
+    def _apply_memory_limits(self) -> None:
+        limits = divide_memory(self.settings.memory_mb)
+        self.ingress.body_reader.max_held_bytes = limits.body_bytes
+        self.sender.response_reader.max_buffered_bytes = limits.response_bytes
+        self.sender.stream_buffers.max_bytes = limits.stream_bytes
 
     def _handle_leaving(self, target: TargetInstance) -> None:
         self.targets.announce_leaving(target.name, target.started_ms)
@@ -214,6 +222,7 @@
         ]
         self.log.write("reloaded", changed=",".join(changed) or "-")
         self.settings = settings
+        self._apply_memory_limits()
         self.router.set_retry_limits(settings.repeats)
         self._set_recovery_times()
         self.router.leaving_grace_s = settings.leaving_grace_s
@@ -314,6 +323,21 @@
             "Bodies of callers' requests in memory.",
             lambda: self.ingress.body_reader.held_bytes,
         )
+        gauges.add(
+            "stream_bytes",
+            "Responses in memory that are passed on while they arrive.",
+            lambda: self.sender.stream_buffers.held_bytes,
+        )
+        gauges.add(
+            "open_streams",
+            "Responses that are being passed on while they arrive.",
+            lambda: len(self.sender.stream_buffers.open),
+        )
+        gauges.add(
+            "aborted_streams",
+            "Callers' connections that were aborted during their response.",
+            lambda: self.sender.stream_buffers.aborted,
+        )
         gauges.add(
             "range_moves",
             "Key ranges that this placer moved.",
--- a/packages/gateway/peridot_gateway/ingress.py
+++ b/packages/gateway/peridot_gateway/ingress.py
@@ -19,9 +19,22 @@
 from peridot_gateway.router import GatewayRouter
 from peridot_gateway.routes import TrafficSplitter
 from peridot_gateway.sources import ConfigurationSource
+from peridot_gateway.streams import (
+    PassedResponse,
+    check_stream,
+    close_result,
+    discard_run,
+)
 from peridot_placement.decisions import DecisionLog
 from peridot_resources.configuration import Route, ServiceConfiguration
-from peridot_routing.outcomes import Answered, NotRun, Outcome, Reason, Unknown
+from peridot_routing.outcomes import (
+    Answered,
+    BodyStream,
+    NotRun,
+    Outcome,
+    Reason,
+    Unknown,
+)
 from peridot_routing.router import format_outcome
 
 # Above the limits of any configuration; longer lines end the connection.
@@ -117,6 +130,8 @@
         if transport is None or transport.is_closing():
             # The connection was closed while the request arrived: it must not run,
             # since no response can be sent.
+            if http_request.arrival.run is not None:
+                discard_run(http_request.arrival.run)
             return to_response(NotRun(Reason.STOPPING))
         arrival = http_request.arrival
         self.open_requests += 1
@@ -133,20 +148,51 @@
                 outcome = await self._route(
                     http_request, route, caller_headers, arrival.began
                 )
+            return await self._respond(http_request, route, caller_headers, outcome)
         except asyncio.CancelledError:
+            if arrival.run is not None:
+                discard_run(arrival.run)
             self.log.write("caller_left", request=caller_headers.request_id)
             raise
         finally:
             self.open_requests -= 1
             if not self.stopping:
                 self.busy_connections.discard(http_request.protocol)
-        took_s = monotonic() - arrival.began
+
+    async def _respond(
+        self,
+        http_request: CallerRequest,
+        route: Route | NotRun,
+        caller_headers: CallerHeaders,
+        outcome: Outcome,
+    ) -> web.StreamResponse:
+        """Return the response for an outcome; pass it on first if it is a stream."""
+        outcome = check_stream(outcome)
+        took_s = monotonic() - http_request.arrival.began
         self._record_outcome(route, caller_headers, outcome, took_s)
         response = to_response(outcome)
+        self._close_if_stopping(http_request, response)
+        if isinstance(response, PassedResponse):
+            try:
+                await response.pass_on(http_request)
+            finally:
+                self.log.write(
+                    "stream",
+                    request=caller_headers.request_id,
+                    target=outcome.target or "-",
+                    bytes=response.stream.received_bytes,
+                    aborted=response.aborted or "-",
+                    took_ms=round((monotonic() - http_request.arrival.began) * 1000, 1),
+                )
+            self._close_if_stopping(http_request, response)
+        return response
+
+    def _close_if_stopping(
+        self, http_request: CallerRequest, response: web.StreamResponse
+    ) -> None:
         if self.stopping and not http_request.protocol.count_started():
             # Requests behind it that haven't been started count as not read.
             response.force_close()
-        return response
 
     def _start_early(self, http_request: CallerRequest) -> asyncio.Task | None:
         """Start a request whose response isn't due yet, if it may run more than once.
@@ -256,17 +302,20 @@
             return await asyncio.shield(task)
         except asyncio.CancelledError:
             request.abandoned = True
+            task.add_done_callback(close_result)
             raise
 
 
 @singledispatch
-def to_response(outcome: Outcome) -> web.Response:
+def to_response(outcome: Outcome) -> web.StreamResponse:
     """Return the HTTP response for an outcome."""
     raise TypeError(type(outcome).__name__)
 
 
 @to_response.register
-def _(outcome: Answered) -> web.Response:
+def _(outcome: Answered) -> web.StreamResponse:
+    if isinstance(outcome.body, BodyStream):
+        return PassedResponse(outcome)
     headers = CIMultiDict(outcome.headers)
     return web.Response(status=outcome.status, headers=headers, body=outcome.body)
 
--- a/packages/gateway/peridot_gateway/pipelining.py
+++ b/packages/gateway/peridot_gateway/pipelining.py
@@ -14,6 +14,7 @@
 from aiohttp.http import RawRequestMessage
 from aiohttp.http_writer import StreamWriter
 
+from peridot_gateway.streams import discard_run
 from peridot_routing.outcomes import Outcome
 
 # Requests of one connection that run beside the one whose response is due.
@@ -65,7 +66,7 @@
         super().connection_lost(exc)
         for arrival in self.arrivals.values():
             if arrival.run is not None:
-                arrival.run.cancel()
+                discard_run(arrival.run)
         self.arrivals.clear()
 
     def start_waiting(self) -> None:
--- a/packages/gateway/peridot_gateway/sender.py
+++ b/packages/gateway/peridot_gateway/sender.py
@@ -2,7 +2,11 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
-from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from contextlib import (
+    AbstractAsyncContextManager,
+    AsyncExitStack,
+    asynccontextmanager,
+)
 from dataclasses import dataclass, replace
 from time import monotonic
 
@@ -34,9 +38,15 @@
     open_connector,
     use_connection,
 )
+from peridot_gateway.streams import (
+    READ_BUFFER_BYTES,
+    ResponseStream,
+    StreamBuffers,
+    TargetBody,
+)
 from peridot_placement.decisions import DecisionLog
 from peridot_resources.configuration import ServiceConfiguration, TargetInstance
-from peridot_routing.attempts import AIOHTTP_AUTO_HEADERS, BODYLESS_STATUSES
+from peridot_routing.attempts import AIOHTTP_AUTO_HEADERS
 from peridot_routing.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 
 # Targets are at most a few milliseconds away; a lost SYN packet costs a second.
@@ -71,6 +81,12 @@
     # The target refused or reset the request at its concurrency limit.
     target_full: bool = False
 
+    @property
+    def stream(self) -> ResponseStream | None:
+        """Return the response's body if it is a stream."""
+        body = getattr(self.outcome, "body", None)
+        return body if isinstance(body, ResponseStream) else None
+
     @property
     def is_queue_full(self) -> bool:
         """Return whether as many requests wait at the target as it has slots.
@@ -192,6 +208,7 @@
         self.handle_leaving: Callable[[TargetInstance], None] = lambda target: None
         self.connections: dict[str, TargetConnections] = {}
         self.response_reader = ResponseReader()
+        self.stream_buffers = StreamBuffers()
 
     async def attempt(
         self,
@@ -212,19 +229,29 @@
             # A late copy of the last response has the id of this attempt as well.
             max_idle_s = NEW_CONNECTION_IDLE_S
         use = ConnectionUse(max_idle_s)
-        with self.estimates.track_attempt(target.name, request.route) as estimate:
+        async with AsyncExitStack() as exchange:
+            estimate = exchange.enter_context(
+                self.estimates.track_attempt(target.name, request.route)
+            )
             ahead = estimate.total_in_flight(began)
             silence = silence_timeout(estimate, silence_timeout_s, may_give_up)
-            async with connections.use_session() as session:
-                with use_connection(use):
-                    result = await self._send(session, request, target, silence)
-                max_idle = self._max_idle_connections(request.service)
-                session.connector.close_idle_beyond(max_idle)
+            session = await exchange.enter_async_context(connections.use_session())
+            with use_connection(use):
+                result = await self._send(
+                    session, request, target, silence, silence_timeout_s, exchange
+                )
+            max_idle = self._max_idle_connections(request.service)
+            session.connector.close_idle_beyond(max_idle)
             if not use.connected and isinstance(result.outcome, Unknown):
                 # Out of time, or refused in an unusual way.
                 detail = f"not connected: {result.outcome.reason}"
                 result = AttemptResult(NotRun(Reason.TARGET_LOST, detail=detail))
             result = self._record_result(target, estimate, result, began, ahead)
+            if (stream := result.stream) is not None:
+                # The slot counts as in use until the stream has been received.
+                stream.start(
+                    exchange.pop_all(), lambda: estimate.record_failure(monotonic())
+                )
         if result.outcome == Unknown(Reason.DEADLINE):
             await connections.retire_session()
         self._check_reuse(connections, target, use, result)
@@ -297,6 +324,7 @@
 
     async def close(self) -> None:
         """Close all connections."""
+        await self.stream_buffers.close()
         await asyncio.gather(*(self.drop(name) for name in list(self.connections)))
 
     def _get_connections(self, target: TargetInstance) -> TargetConnections:
@@ -311,7 +339,10 @@
         request: GatewayRequest,
         target: TargetInstance,
         silence: AbstractAsyncContextManager[None],
+        silence_timeout_s: float,
+        exchange: AsyncExitStack,
     ) -> AttemptResult:
+        """Send a request; leave the response to the exchange if it is a stream."""
         remaining_s = request.remaining_s() - DEADLINE_MARGIN_S
         if remaining_s <= 0:
             return AttemptResult(NotRun(Reason.DEADLINE))
@@ -321,18 +352,26 @@
         try:
             async with (
                 silence,
-                session.request(
-                    request.method,
-                    URL(f"http://{target.address}{request.path}", encoded=True),
-                    headers=CIMultiDict(headers),
-                    data=request.body or None,
-                    timeout=ClientTimeout(
-                        total=remaining_s, sock_connect=CONNECT_TIMEOUT_S
-                    ),
-                    allow_redirects=False,
-                ) as response,
+                asyncio.timeout(remaining_s),
+                AsyncExitStack() as response_exit,
             ):
-                return await self._read_response(response, request, target)
+                response = await response_exit.enter_async_context(
+                    session.request(
+                        request.method,
+                        URL(f"http://{target.address}{request.path}", encoded=True),
+                        headers=CIMultiDict(headers),
+                        data=request.body or None,
+                        timeout=ClientTimeout(sock_connect=CONNECT_TIMEOUT_S),
+                        allow_redirects=False,
+                        read_bufsize=READ_BUFFER_BYTES,
+                    )
+                )
+                result = await self._read_response(
+                    response, request, target, silence_timeout_s
+                )
+                if result.stream is not None:
+                    exchange.push_async_exit(response_exit.pop_all())
+                return result
         except ClientConnectorError as error:
             return AttemptResult(NotRun(Reason.CONNECTION_REFUSED, detail=str(error)))
         except ConnectionTimeoutError:
@@ -347,7 +386,11 @@
             return AttemptResult(Unknown(Reason.CONNECTION_LOST, type(error).__name__))
 
     async def _read_response(
-        self, response: ClientResponse, request: GatewayRequest, target: TargetInstance
+        self,
+        response: ClientResponse,
+        request: GatewayRequest,
+        target: TargetInstance,
+        silence_timeout_s: float,
     ) -> AttemptResult:
         response_headers = self.dialect.parse_response_headers(
             response.status, response.headers, request
@@ -358,7 +401,15 @@
                 Unknown(Reason.TORN_ANSWER, "response to another request")
             )
         self._apply_notices(response_headers, target)
-        body = await self._read_body(response, request.method)
+        body = await self._read_body(
+            TargetBody(response, request.method),
+            # Others may be followed by another attempt.
+            response.status < 500
+            and response_headers.signed
+            and not (response_headers.misdirected or response_headers.not_run),
+            request.deadline,
+            silence_timeout_s,
+        )
         if body is None:
             response.close()
             return AttemptResult(
@@ -406,19 +457,15 @@
                 paused_s=round(estimate.pause_remaining_s(monotonic()), 2),
             )
 
-    async def _read_body(self, response: ClientResponse, method: str) -> bytes | None:
-        """Return the whole body; None if it is truncated or too large."""
-        has_framing = (
-            method == "HEAD"
-            or response.status in BODYLESS_STATUSES
-            or response.content_length is not None
-            or "chunked" in response.headers.get("Transfer-Encoding", "").lower()
-        )
-        if has_framing or response.connection is None:
-            return await self.response_reader.read(response) if has_framing else None
-        # The body ends with the connection, which may have been reset.
-        closed = response.connection.protocol.closed
-        body = await self.response_reader.read(response)
-        if closed is None or not closed.done() or closed.exception() is not None:
-            return None
-        return body
+    async def _read_body(
+        self,
+        body: TargetBody,
+        may_stream: bool,
+        deadline: float,
+        silence_timeout_s: float,
+    ) -> bytes | ResponseStream | None:
+        """Return the body, None if it is truncated or too large."""
+        if may_stream and self.stream_buffers.may_stream(body):
+            return await self.stream_buffers.read(body, deadline, silence_timeout_s)
+        whole = await self.response_reader.read(body.response)
+        return whole if body.has_proven_end() else None
--- a/packages/routing/peridot_routing/outcomes.py
+++ b/packages/routing/peridot_routing/outcomes.py
@@ -1,5 +1,6 @@
 """Outcomes of attempts and requests, for both modes."""
 
+from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -32,13 +33,21 @@
     UNKNOWN_SERVICE = "unknown_service"
 
 
+class BodyStream(ABC):
+    """A body that is passed on while it arrives; only the gateway uses streams."""
+
+    @abstractmethod
+    def close(self) -> None:
+        """Drop what isn't passed on yet and stop receiving."""
+
+
 @dataclass(frozen=True)
 class Answered:
-    """The target's complete response."""
+    """The target's response; it is complete unless its body is a stream."""
 
     status: int
     headers: tuple[tuple[str, str], ...]
-    body: bytes
+    body: bytes | BodyStream
     target: str = ""
 
 
