Bound what streams hold beside their buffers, and test slow callers

Cause: aiohttp and the kernel would hold up to megabytes for a stream that waits. Change: smaller read buffers, fixed socket buffers, and an allowance for streams that wait.

--- a/packages/gateway/peridot_gateway/sockets.py
+++ b/packages/gateway/peridot_gateway/sockets.py
@@ -15,7 +15,9 @@
 # Closing resets the connection (SO_LINGER with a timeout of 0): a request that is still
 # in the socket buffer during a partition must not arrive after its sender gave it up.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-
+# Receive buffer of a connection, which the kernel doubles and otherwise enlarges to
+# megabytes for a large response that isn't read. It begins with this size anyway.
+RECEIVE_BUFFER_BYTES = 64 * 2**10
 
 FIRST_FINAL_STATUS = 200
 # Bytes of the head, interim responses included; targets' heads have some hundred bytes.
@@ -91,6 +93,7 @@
     family, kind, protocol, _, _ = address
     sock = socket.socket(family, kind, protocol)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return sock
 
--- a/packages/gateway/peridot_gateway/streams.py
+++ b/packages/gateway/peridot_gateway/streams.py
@@ -19,14 +19,20 @@
 
 # aiohttp stops reading a target's connection at twice this size: a stream must not
 # hold much beside its own buffer.
-READ_BUFFER_BYTES = 32 * 2**10
+READ_BUFFER_BYTES = 16 * 2**10
 # Size of the pieces in which bytes are taken from targets and written to callers.
-PIECE_BYTES = 16 * 2**10
+PIECE_BYTES = 32 * 2**10
 # What a stream may hold even if the memory of all streams is in use, so that each goes
 # on.
-MIN_STREAM_BYTES = 32 * 2**10
+MIN_STREAM_BYTES = 64 * 2**10
+# What aiohttp and the kernel hold at most for a stream that waits for room, beside its
+# buffer: twice READ_BUFFER_BYTES, and 100 KB each in the two sockets' buffers.
+WAITING_BYTES = 232 * 2**10
 # Bytes in the write buffer of a caller's connection above which the stream waits.
 WRITE_BUFFER_BYTES = 32 * 2**10
+# Send buffer in the kernel, which doubles it. It would grow to megabytes for a caller
+# that doesn't read, beyond what is counted here.
+SEND_BUFFER_BYTES = 64 * 2**10
 # Memory of all streams unless the settings say otherwise.
 DEFAULT_STREAM_BYTES = 32 * 2**20
 # Shortest silence of a target that ends a stream (s): other streams on the VM's link
@@ -34,7 +40,7 @@
 MIN_SILENCE_S = 2.0
 # After the deadline, callers must take bytes at least this often (s), and be done after
 # a time (s). The bytes have been read from the target by then.
-STALL_S = 2.0
+STALL_S = 4.0
 MAX_LATE_S = 30.0
 
 
@@ -128,8 +134,9 @@
         """Return whether a stream may read on: each gets the same share."""
         if stream.held_bytes < MIN_STREAM_BYTES:
             return True
-        share_bytes = self.max_bytes // max(1, len(self.open))
-        return self.held_bytes < self.max_bytes and stream.held_bytes < share_bytes
+        max_bytes = self.max_bytes - len(self.waiting) * WAITING_BYTES
+        share_bytes = max_bytes // max(1, len(self.open))
+        return self.held_bytes < max_bytes and stream.held_bytes < share_bytes
 
     def wake_waiting(self) -> None:
         """Let the streams that wait for room look again."""
@@ -263,12 +270,9 @@
     def release(self, count: int) -> None:
         """Count bytes as held no longer."""
         count = min(count, self.held_bytes)
-        was_full = self.buffers.held_bytes >= self.buffers.max_bytes
         self.held_bytes -= count
         self.buffers.held_bytes -= count
         self.changed.set()
-        if was_full:
-            self.buffers.wake_waiting()
 
     def drop_pieces(self) -> None:
         """Drop all that is held."""
@@ -309,6 +313,7 @@
             if transport is None:
                 raise ConnectionResetError
             transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+            set_option(transport, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
             await self._send(http_request)
             transport.set_write_buffer_limits()
         except BrokenStream as error:
@@ -353,12 +358,16 @@
         self._eof_sent = True
         if transport is not None and not transport.is_closing():
             # Reset, since a caller may take the end of the connection for the body's.
-            client = transport.get_extra_info("socket")
-            client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            set_option(transport, socket.SO_LINGER, RESET_ON_CLOSE)
         if transport is not None:
             transport.abort()
 
 
+def set_option(transport: asyncio.Transport, option: int, value: int | bytes) -> None:
+    """Set an option of a connection's socket."""
+    transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, option, value)
+
+
 def check_stream(outcome: Outcome) -> Outcome:
     """Return an outcome, unknown if its stream broke before anything was sent."""
     if not isinstance(outcome, Answered):
--- /dev/null
+++ b/packages/gateway/tests/test_streams.py
@@ -0,0 +1,467 @@
+"""Pattern: large responses to callers that read slowly, stop, or leave."""
+
+import asyncio
+import random
+import socket
+from contextlib import asynccontextmanager, suppress
+from dataclasses import replace
+from time import monotonic
+from types import SimpleNamespace
+
+import pytest
+
+from peridot_daemon.metrics import Metrics
+from peridot_gateway.dialect import CallerHeaders, ResponseHeaders
+from peridot_gateway.estimates import Estimates
+from peridot_gateway.ingress import Ingress
+from peridot_gateway.memory import MIB, divide_memory
+from peridot_gateway.routes import RouteIndex
+from peridot_gateway.sender import Sender
+from peridot_gateway.sockets import RESET_ON_CLOSE
+from peridot_gateway.streams import MIN_STREAM_BYTES, PIECE_BYTES, WAITING_BYTES
+from peridot_placement.decisions import MemoryDecisionLog
+from peridot_resources.configuration import (
+    CallerLimits,
+    Configuration,
+    ServiceConfiguration,
+)
+
+# The largest download of the stated load.
+SIZE = 540 * 1000
+BODY = random.Random(1).randbytes(SIZE)
+OK = b"HTTP/1.1 200 OK\r\n"
+KNOWN_LENGTH = OK + b"Content-Length: %d\r\n\r\n" % SIZE
+CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+UNTIL_CLOSE = OK + b"\r\n"
+# Kernel buffers of a caller and of the VM's side of its connection, so that most of a
+# body must wait in the VM.
+SOCKET_BYTES = 4096
+
+
+class PlainDialect:
+    def parse_caller_headers(self, headers):
+        deadline_s = int(headers["Deadline-Ms"]) / 1000
+        return CallerHeaders(headers["Request-Id"], deadline_s, None)
+
+    def build_target_headers(self, request, target, remaining_s):
+        return [("Host", request.host)]
+
+    def parse_response_headers(self, status, headers, request):
+        return ResponseHeaders(False, False, None, False, True, None, None)
+
+
+class DownloadTarget:
+    """A target that sends the same bytes, then goes on as told."""
+
+    def __init__(self) -> None:
+        self.head = KNOWN_LENGTH
+        self.body = BODY
+        # close, reset or stall after the body; anything else waits for a request.
+        self.then = ""
+        self.open = 0
+        self.accepted = 0
+
+    async def serve(self, reader, writer) -> None:
+        self.open += 1
+        self.accepted += 1
+        try:
+            while await reader.readuntil(b"\r\n\r\n"):
+                writer.write(self.head + self.body)
+                await writer.drain()
+                if self.then == "reset":
+                    # What was sent arrives first.
+                    await asyncio.sleep(0.1)
+                    connection = writer.get_extra_info("socket")
+                    connection.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+                    )
+                if self.then in ("close", "reset"):
+                    return
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self.open -= 1
+            writer.close()
+
+
+class Setup:
+    """An ingress before a sender and one target."""
+
+    def __init__(self, target: DownloadTarget, sender, ingress, address) -> None:
+        self.target = target
+        self.sender = sender
+        self.ingress = ingress
+        self.address = address
+        self.buffers = sender.stream_buffers
+
+    @property
+    def in_flight(self) -> int:
+        return self.sender.estimates.get("t").in_flight
+
+    async def open_caller(self, count: int = 1, path="/a/x", deadline_ms=5000):
+        """Send requests; return a reader with small buffers, and the writer."""
+        client = socket.socket()
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BYTES)
+        client.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(client, self.address)
+        reader, writer = await asyncio.open_connection(sock=client, limit=2048)
+        request = (
+            f"GET {path} HTTP/1.1\r\nHost: a.example\r\nRequest-Id: id\r\n"
+            f"Deadline-Ms: {deadline_ms}\r\n\r\n"
+        )
+        writer.write(request.encode() * count)
+        return reader, writer
+
+    def log_values(self, event: str, name: str) -> list:
+        return [values[name] for key, values in self.ingress.log.events if key == event]
+
+
+async def read_response(reader) -> bytes:
+    """Return a whole body; raise an error if the response isn't complete."""
+    head = (await reader.readuntil(b"\r\n\r\n")).lower()
+    assert head.startswith(b"http/1.1 200")
+    if b"chunked" not in head:
+        length = head.partition(b"content-length: ")[2].split(b"\r\n")[0]
+        return await reader.readexactly(int(length))
+    body = b""
+    while size := int(await reader.readline(), 16):
+        body += (await reader.readexactly(size + 2))[:-2]
+    assert await reader.readexactly(2) == b"\r\n"
+    return body
+
+
+@pytest.fixture
+def run(make_route, make_target):
+    @asynccontextmanager
+    async def serve():
+        target = DownloadTarget()
+        server = await asyncio.start_server(target.serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        instance = replace(make_target("t"), address=f"{host}:{port}")
+        sender = Sender(PlainDialect(), Estimates(), MemoryDecisionLog())
+
+        async def handle(request):
+            result = await sender.attempt(request, instance, request.remaining_s())
+            return result.outcome
+
+        routes = (
+            make_route(path_prefix="/a/", timeout_s=10.0),
+            make_route(False, name="r2", path_prefix="/o/", timeout_s=10.0),
+        )
+        services = {"files": ServiceConfiguration("files", False, 100, 1.0)}
+        configuration = Configuration(1, routes, services, CallerLimits())
+        ingress = Ingress(
+            PlainDialect(),
+            SimpleNamespace(
+                configuration=configuration, index=RouteIndex(configuration)
+            ),
+            SimpleNamespace(handle=handle),
+            Metrics(),
+            MemoryDecisionLog(),
+            random.Random(1),
+        )
+        async with server, ingress.serve("127.0.0.1:0"):
+            listener = ingress.site._server.sockets[0]
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BYTES)
+            yield Setup(target, sender, ingress, listener.getsockname())
+            await sender.close()
+
+    def run_scenario(scenario) -> None:
+        async def check():
+            async with asyncio.timeout(15), serve() as setup:
+                await scenario(setup)
+
+        asyncio.run(check())
+
+    return run_scenario
+
+
+async def wait_until(condition, timeout_s: float = 0.5) -> None:
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+FRAMINGS = {
+    "length": (KNOWN_LENGTH, BODY, ""),
+    "chunked": (CHUNKED, b"%x\r\n%b\r\n0\r\n\r\n" % (SIZE, BODY), ""),
+    "until close": (UNTIL_CLOSE, BODY, "close"),
+}
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_a_large_response_is_passed_on_whole(framing, run):
+    """Guards against bytes that are lost or reordered, and against slots kept."""
+
+    async def scenario(setup):
+        target = setup.target
+        target.head, target.body, target.then = FRAMINGS[framing]
+        reader, writer = await setup.open_caller(2)
+        for _ in range(2):
+            assert await read_response(reader) == BODY
+        await wait_until(lambda: not setup.in_flight)
+        assert setup.buffers.held_bytes == 0 and not setup.buffers.open
+        assert setup.buffers.aborted == 0
+        # Connections that were read to their end are kept.
+        assert target.open == (0 if framing == "until close" else target.accepted)
+        writer.close()
+
+    run(scenario)
+
+
+def test_a_response_is_passed_on_before_it_is_complete(run):
+    """Guards against a first byte that waits for the last one."""
+
+    async def scenario(setup):
+        setup.target.body = BODY[:100_000]
+        reader, writer = await setup.open_caller()
+        await reader.readuntil(b"\r\n\r\n")
+        assert await reader.readexactly(90_000) == BODY[:90_000]
+        assert setup.in_flight == 1
+        writer.close()
+
+    run(scenario)
+
+
+def test_a_slow_reader_does_not_hold_the_slot(run):
+    """Guards against targets whose slots wait for callers on slow links."""
+
+    async def scenario(setup):
+        reader, writer = await setup.open_caller()
+        await reader.readuntil(b"\r\n\r\n")
+        await wait_until(lambda: not setup.in_flight)
+        assert setup.buffers.held_bytes > SIZE / 2
+        body = b""
+        while len(body) < SIZE:
+            body += await reader.read(20_000)
+            await asyncio.sleep(0.01)
+        assert body == BODY
+        # The time to the first byte counts, not the caller's.
+        assert setup.sender.estimates.get("t").processing_s < 0.2
+        writer.close()
+
+    run(scenario)
+
+
+def test_a_slow_reader_gets_all_after_the_deadline_if_it_reads_on(run):
+    """Guards against downloads that are cut off although they are in the VM."""
+
+    async def scenario(setup):
+        reader, writer = await setup.open_caller(deadline_ms=300)
+        body = await reader.readuntil(b"\r\n\r\n")
+        body = b""
+        while len(body) < SIZE:
+            body += await reader.readexactly(min(27_000, SIZE - len(body)))
+            await asyncio.sleep(0.04)
+        assert body == BODY
+        writer.close()
+
+    run(scenario)
+
+
+def test_a_caller_that_stops_reading_is_cut_off_at_the_deadline(run, monkeypatch):
+    """Guards against memory and connections held for callers that are gone."""
+    monkeypatch.setattr("peridot_gateway.streams.STALL_S", 0.1)
+
+    async def scenario(setup):
+        setup.buffers.max_bytes = 4 * MIN_STREAM_BYTES
+        began = monotonic()
+        reader, writer = await setup.open_caller(deadline_ms=400)
+        await wait_until(lambda: setup.buffers.open)
+        await wait_until(lambda: not setup.buffers.open, 2.0)
+        assert 0.3 < monotonic() - began < 0.8
+        assert setup.buffers.aborted == 1 and setup.buffers.held_bytes == 0
+        await wait_until(lambda: not (setup.in_flight or setup.target.open))
+        with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+            await read_response(reader)
+        writer.close()
+
+    run(scenario)
+
+
+PART = BODY[:300_000]
+BREAKS = [
+    (KNOWN_LENGTH + PART, "close"),
+    (KNOWN_LENGTH + PART, "reset"),
+    (CHUNKED + b"%x\r\n" % SIZE + PART, "close"),
+    (CHUNKED + b"%x\r\n" % SIZE + PART, "reset"),
+    # All chunks but the last, which is empty.
+    (CHUNKED + b"%x\r\n%b\r\n" % (SIZE, BODY), "close"),
+    (UNTIL_CLOSE + PART, "reset"),
+]
+
+
+@pytest.mark.parametrize("case", range(len(BREAKS)))
+def test_a_response_that_breaks_off_does_not_look_complete(case, run):
+    """Guards against callers that take a part of a response for all of it."""
+
+    async def scenario(setup):
+        setup.target.head, setup.target.then = BREAKS[case]
+        setup.target.body = b""
+        reader, writer = await setup.open_caller()
+        with pytest.raises((ConnectionError, asyncio.IncompleteReadError, ValueError)):
+            await read_response(reader)
+        await wait_until(lambda: setup.buffers.aborted == 1)
+        assert setup.buffers.held_bytes == setup.in_flight == 0
+        assert setup.sender.estimates.get("t").failed == 1
+        writer.close()
+
+    run(scenario)
+
+
+def test_a_target_that_is_silent_midway_ends_the_stream(run, monkeypatch):
+    """Guards against callers that wait until their deadline for nothing."""
+    monkeypatch.setattr("peridot_gateway.streams.MIN_SILENCE_S", 0.2)
+
+    async def scenario(setup):
+        attempt = setup.sender.attempt
+        setup.sender.attempt = lambda request, target, _: attempt(request, target, 0.2)
+        setup.target.body = BODY[:200_000]
+        reader, writer = await setup.open_caller()
+        began = monotonic()
+        with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+            await read_response(reader)
+        assert monotonic() - began < 1.0
+        await wait_until(lambda: not setup.target.open)
+        writer.close()
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("path", ["/a/x", "/o/x"])
+@pytest.mark.parametrize("count", [1, 4])
+def test_the_connections_to_targets_close_soon_after_a_caller_leaves(path, count, run):
+    """Guards against slots that targets spend on responses nobody gets."""
+
+    async def scenario(setup):
+        setup.buffers.max_bytes = 0
+        reader, writer = await setup.open_caller(count, path)
+        started = count if path == "/a/x" else 1
+        await wait_until(lambda: setup.target.open == started)
+        await reader.readuntil(b"\r\n\r\n")
+        await asyncio.sleep(0.1)
+        writer.transport.abort()
+        await wait_until(lambda: not (setup.target.open or setup.in_flight), 0.5)
+        assert setup.buffers.held_bytes == 0 and not setup.buffers.open
+
+    run(scenario)
+
+
+def test_many_streams_share_the_memory_of_the_smallest_vm(run):
+    """Guards against a VM that is killed for its memory, and against starved streams.
+
+    60 callers read nothing at first, so that all that a VM may hold for them is held.
+    """
+
+    async def scenario(setup):
+        setup.buffers.max_bytes = limit = 4 * MIB
+        callers = [await setup.open_caller(deadline_ms=9000) for _ in range(60)]
+        await wait_until(lambda: len(setup.buffers.open) == 60, 3.0)
+        await asyncio.sleep(0.3)
+        peak = setup.buffers.held_bytes
+        assert limit / 2 < peak <= limit + 60 * (MIN_STREAM_BYTES + PIECE_BYTES)
+        for stream in setup.buffers.open:
+            content = stream.source.response.content
+            assert content._size <= WAITING_BYTES
+        bodies = await asyncio.gather(*(read_response(reader) for reader, _ in callers))
+        assert all(body == BODY for body in bodies)
+        assert setup.buffers.held_bytes == 0 and not setup.buffers.open
+        for _, writer in callers:
+            writer.close()
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("max_bytes", [0, 4 * MIB])
+def test_pipelined_downloads_come_in_order_within_the_memory(max_bytes, run):
+    """Guards against a stream that waits for its turn and keeps others from ending."""
+
+    async def scenario(setup):
+        setup.buffers.max_bytes = max_bytes
+        reader, writer = await setup.open_caller(6)
+        for _ in range(6):
+            assert await read_response(reader) == BODY
+            assert setup.buffers.held_bytes <= max_bytes + 6 * (
+                MIN_STREAM_BYTES + PIECE_BYTES
+            )
+        assert setup.buffers.held_bytes == 0
+        writer.close()
+
+    run(scenario)
+
+
+def test_a_stream_that_breaks_before_its_turn_is_answered_as_unknown(run):
+    """Guards against an aborted connection where an error can still be told."""
+
+    async def scenario(setup):
+        reader, writer = await setup.open_caller()
+        await wait_until(lambda: setup.buffers.open)
+        setup.target.then, setup.target.body = "close", PART
+        writer.write(
+            b"GET /a/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: id\r\n"
+            b"Deadline-Ms: 5000\r\n\r\n"
+        )
+        await asyncio.sleep(0.3)
+        assert await read_response(reader) == BODY
+        assert b" 502 " in await reader.readuntil(b"\r\n\r\n")
+        assert setup.buffers.aborted == 0
+        writer.close()
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("reading", [True, False])
+def test_a_graceful_stop_midway(reading, run):
+    """Guards against downloads cut by a stop, and stops that wait for ever."""
+
+    async def scenario(setup):
+        reader, writer = await setup.open_caller()
+        await wait_until(lambda: setup.buffers.open)
+        setup.ingress.stopping = True
+        began = monotonic()
+        closing = asyncio.create_task(setup.ingress.close(began + 1.0))
+        await asyncio.sleep(0.1)
+        if reading:
+            assert await read_response(reader) == BODY
+            assert await reader.read() == b""
+        await closing
+        assert (monotonic() - began < 0.9) == reading
+        writer.close()
+
+    run(scenario)
+
+
+def test_a_caller_of_http_1_0_gets_a_response_without_a_length(run):
+    """Guards against a response that fails because it can't be chunked."""
+
+    async def scenario(setup):
+        setup.target.head, setup.target.then = UNTIL_CLOSE, "close"
+        reader, writer = await asyncio.open_connection(*setup.address)
+        writer.write(
+            b"GET /a/x HTTP/1.0\r\nHost: a.example\r\nRequest-Id: id\r\n"
+            b"Deadline-Ms: 5000\r\n\r\n"
+        )
+        assert (await reader.read()).endswith(b"\r\n\r\n" + BODY)
+        setup.target.then, setup.target.body = "reset", PART
+        reader, writer = await asyncio.open_connection(*setup.address)
+        writer.write(
+            b"GET /a/x HTTP/1.0\r\nHost: a.example\r\nRequest-Id: id\r\n"
+            b"Deadline-Ms: 5000\r\n\r\n"
+        )
+        with pytest.raises(ConnectionError):
+            await reader.read()
+        with suppress(ConnectionError):
+            writer.close()
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("memory_mb", [-5.0, 0.0, 100.0, 160.0, 199.0, 200.0, 552.0])
+def test_held_bytes_fit_into_the_memory(memory_mb):
+    """Guards against VMs of 160 MB that may hold 96 MB beside the program's 90."""
+    limits = divide_memory(memory_mb)
+    held = limits.body_bytes + limits.response_bytes + limits.stream_bytes
+    assert held <= max(memory_mb - 90, 32) * MIB
+    assert min(limits.body_bytes, limits.response_bytes, limits.stream_bytes) > 0
+    if memory_mb >= 200:
+        assert limits.body_bytes == 64 * MIB
