--- a/packages/fakes/tests/test_adapter.py
+++ b/packages/fakes/tests/test_adapter.py
@@ -77,6 +77,15 @@
     assert found.routes[0].idempotent
 
 
+@pytest.mark.parametrize("timeout_s", [None, 0])
+def test_downloads_may_have_no_timeout(timeout_s):
+    """Guards against a configuration that is refused whole for such a route."""
+    row = list(FILES_ROUTE)
+    row[3:6] = ["download", timeout_s, None]
+    found = parse_configuration(orjson.dumps(make_configuration(3, [row])))
+    assert found.routes[0].timeout_s > 30 > found.routes[0].latency_objective_s > 0
+
+
 @pytest.mark.parametrize(
     "change",
     [
