Pass large bodies on while they arrive if their request runs once

Cause: bodies were read whole, without backpressure from the target, and Expect was forwarded to targets. A body that was sent in part isn't sent again; only a refusal of the target says that it wasn't run. Failures of callers aren't recorded as the target's. Tests of bodies that are read whole use a route that may repeat requests now.

--- a/packages/gateway/peridot_gateway/ingress.py
+++ b/packages/gateway/peridot_gateway/ingress.py
@@ -25,6 +25,7 @@
     close_result,
     discard_run,
 )
+from peridot_gateway.uploads import READ_BUFFER_BYTES, Upload
 from peridot_placement.decisions import DecisionLog
 from peridot_resources.configuration import Route, ServiceConfiguration
 from peridot_routing.outcomes import (
@@ -90,6 +91,7 @@
             handler_cancellation=True,
             access_log=None,
             auto_decompress=False,
+            read_bufsize=READ_BUFFER_BYTES,
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_LINE_BYTES,
             keepalive_timeout=self._keepalive_timeout_s(),
@@ -259,7 +261,9 @@
         wait_s = route.timeout_s if deadline_s is None else deadline_s
         wait_s = min(wait_s, route.timeout_s)
         limit = self.configuration_source.configuration.limits.max_body_bytes
-        async with self.body_reader.read(http_request, limit, began + wait_s) as body:
+        async with self.body_reader.read(
+            http_request, limit, began + wait_s, repeatable=route.idempotent
+        ) as body:
             if isinstance(body, NotRun):
                 return body
             request = self._build_request(
@@ -273,7 +277,7 @@
         route: Route,
         service: ServiceConfiguration,
         caller_headers: CallerHeaders,
-        body: bytes,
+        body: bytes | Upload,
         began: float,
         wait_s: float,
     ) -> GatewayRequest:
@@ -302,6 +306,9 @@
             return await asyncio.shield(task)
         except asyncio.CancelledError:
             request.abandoned = True
+            if request.upload is not None and not request.upload.complete:
+                # The target can't get the rest of the body.
+                task.cancel()
             task.add_done_callback(close_result)
             raise
 
--- a/packages/gateway/peridot_gateway/requests.py
+++ b/packages/gateway/peridot_gateway/requests.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from time import monotonic
 
+from peridot_gateway.uploads import Upload
 from peridot_resources.configuration import Route, ServiceConfiguration
 from peridot_routing.requests import HOP_BY_HOP_HEADERS
 
@@ -27,7 +28,7 @@
     method: str
     path: str
     headers: tuple[tuple[str, str], ...]
-    body: bytes
+    body: bytes | Upload
     # Key of a request to a service divided by key.
     key: int | None
     started_at: float
@@ -51,6 +52,16 @@
         """Return whether a target may have run the request."""
         return bool(self.possible_runs)
 
+    @property
+    def upload(self) -> Upload | None:
+        """Return the body if it is passed on while it arrives."""
+        return self.body if isinstance(self.body, Upload) else None
+
+    @property
+    def may_repeat(self) -> bool:
+        """Return whether the body is there for another attempt."""
+        return self.upload is None or not self.upload.taken
+
     def remaining_s(self) -> float:
         """Return the time remaining until the deadline (s)."""
         return self.deadline - monotonic()
--- a/packages/gateway/peridot_gateway/router.py
+++ b/packages/gateway/peridot_gateway/router.py
@@ -296,6 +296,8 @@
         )
 
     def _may_retry(self, request: GatewayRequest, result: AttemptResult) -> bool:
+        if not request.may_repeat:
+            return False
         match result.outcome:
             case Answered(status=status):
                 return status >= 500 and request.route.idempotent
--- a/packages/gateway/peridot_gateway/sender.py
+++ b/packages/gateway/peridot_gateway/sender.py
@@ -189,6 +189,21 @@
     return session
 
 
+def find_caller_fault(request: GatewayRequest, result: AttemptResult) -> Unknown | None:
+    """Return the outcome if the caller didn't send its body.
+
+    Such an attempt says nothing about its target.
+    """
+    upload = request.upload
+    if upload is None or not isinstance(result.outcome, Unknown):
+        return None
+    if upload.failed is not None:
+        return Unknown(upload.failed, "the caller's body isn't complete")
+    if result.outcome.reason is Reason.DEADLINE and upload.starved:
+        return Unknown(Reason.DEADLINE, "the caller's body isn't complete")
+    return None
+
+
 class Sender:
     """Send attempts to targets over pooled connections."""
 
@@ -246,6 +261,8 @@
                 # Out of time, or refused in an unusual way.
                 detail = f"not connected: {result.outcome.reason}"
                 result = AttemptResult(NotRun(Reason.TARGET_LOST, detail=detail))
+            if (fault := find_caller_fault(request, result)) is not None:
+                return AttemptResult(fault)
             result = self._record_result(target, estimate, result, began, ahead)
             if (stream := result.stream) is not None:
                 # The slot counts as in use until the stream has been received.
@@ -346,9 +363,18 @@
         remaining_s = request.remaining_s() - DEADLINE_MARGIN_S
         if remaining_s <= 0:
             return AttemptResult(NotRun(Reason.DEADLINE))
-        headers = self.dialect.build_target_headers(
-            request, target, remaining_s - TRANSFER_ALLOWANCE_S
+        headers = CIMultiDict(
+            self.dialect.build_target_headers(
+                request, target, remaining_s - TRANSFER_ALLOWANCE_S
+            )
         )
+        # The gateway has answered it.
+        headers.popall("Expect", None)
+        body = request.body or None
+        if request.upload is not None:
+            body = request.upload.pieces()
+            if request.upload.length is not None:
+                headers["Content-Length"] = str(request.upload.length)
         try:
             async with (
                 silence,
@@ -359,8 +385,8 @@
                     session.request(
                         request.method,
                         URL(f"http://{target.address}{request.path}", encoded=True),
-                        headers=CIMultiDict(headers),
-                        data=request.body or None,
+                        headers=headers,
+                        data=body,
                         timeout=ClientTimeout(sock_connect=CONNECT_TIMEOUT_S),
                         allow_redirects=False,
                         read_bufsize=READ_BUFFER_BYTES,
--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import random
+import socket
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from time import monotonic
 from types import SimpleNamespace
 
@@ -12,7 +14,7 @@
 from peridot_fakes.fleet import free_ports
 from peridot_gateway.admission import Admission
 from peridot_gateway.budget import RetryBudgetLimits
-from peridot_gateway.dialect import CallerHeaders
+from peridot_gateway.dialect import CallerHeaders, ResponseHeaders
 from peridot_gateway.estimates import Estimates
 from peridot_gateway.ingress import Ingress
 from peridot_gateway.owners import Owners, OwnerTable
@@ -20,7 +22,7 @@
 from peridot_gateway.requests import GatewayRequest
 from peridot_gateway.router import GatewayRouter, RouterParts
 from peridot_gateway.routes import RouteIndex
-from peridot_gateway.sender import AttemptResult
+from peridot_gateway.sender import AttemptResult, Sender
 from peridot_placement.decisions import MemoryDecisionLog
 from peridot_resources.configuration import (
     CallerLimits,
@@ -34,6 +36,9 @@
 
 # For how long leaving targets get new requests (s).
 LEAVING_GRACE_S = 1.0
+# Kernel buffers of a caller and of the VM's side of its connection, so that most of a
+# large body must wait in the VM.
+SOCKET_BYTES = 4096
 # Processing time of the router of ingress tests.
 DELAY_S = 0.1
 
@@ -229,3 +234,91 @@
             writer.close()
 
     return open_connection
+
+
+class PlainDialect(CallerDialect):
+    """A dialect that treats each response as signed, and 503 as not run."""
+
+    def build_target_headers(self, request, target, remaining_s):
+        return [("Host", request.host)]
+
+    def parse_response_headers(self, status, headers, request):
+        not_run = status == 503
+        return ResponseHeaders(not_run, False, None, False, True, None, None)
+
+
+class Setup:
+    """An ingress before a sender and one target."""
+
+    def __init__(self, target, sender, ingress, address) -> None:
+        self.target = target
+        self.sender = sender
+        self.ingress = ingress
+        self.address = address
+        self.buffers = sender.stream_buffers
+
+    @property
+    def in_flight(self) -> int:
+        return self.sender.estimates.get("t").in_flight
+
+    async def open_caller(self, count: int = 1, path="/a/x", deadline_ms=5000):
+        """Send requests; return a reader with small buffers, and the writer."""
+        client = socket.socket()
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BYTES)
+        client.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(client, self.address)
+        reader, writer = await asyncio.open_connection(sock=client, limit=2048)
+        request = (
+            f"GET {path} HTTP/1.1\r\nHost: a.example\r\nRequest-Id: id\r\n"
+            f"Deadline-Ms: {deadline_ms}\r\n\r\n"
+        )
+        writer.write(request.encode() * count)
+        return reader, writer
+
+    def log_values(self, event: str, name: str) -> list:
+        return [values[name] for key, values in self.ingress.log.events if key == event]
+
+
+@pytest.fixture
+def run_with_target(make_route, make_target):
+    @asynccontextmanager
+    async def serve(target):
+        server = await asyncio.start_server(target.serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        instance = replace(make_target("t"), address=f"{host}:{port}")
+        sender = Sender(PlainDialect(), Estimates(), MemoryDecisionLog())
+
+        async def handle(request):
+            result = await sender.attempt(request, instance, request.remaining_s())
+            return result.outcome
+
+        routes = (
+            make_route(path_prefix="/a/", timeout_s=10.0),
+            make_route(False, name="r2", path_prefix="/o/", timeout_s=10.0),
+        )
+        services = {"files": ServiceConfiguration("files", False, 100, 1.0)}
+        configuration = Configuration(1, routes, services, CallerLimits())
+        ingress = Ingress(
+            PlainDialect(),
+            SimpleNamespace(
+                configuration=configuration, index=RouteIndex(configuration)
+            ),
+            SimpleNamespace(handle=handle),
+            Metrics(),
+            MemoryDecisionLog(),
+            random.Random(1),
+        )
+        async with server, ingress.serve("127.0.0.1:0"):
+            listener = ingress.site._server.sockets[0]
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BYTES)
+            yield Setup(target, sender, ingress, listener.getsockname())
+            await sender.close()
+
+    def run_scenario(target, scenario) -> None:
+        async def check():
+            async with asyncio.timeout(15), serve(target) as setup:
+                await scenario(setup)
+
+        asyncio.run(check())
+
+    return run_scenario
--- a/packages/gateway/tests/test_streams.py
+++ b/packages/gateway/tests/test_streams.py
@@ -3,28 +3,14 @@
 import asyncio
 import random
 import socket
-from contextlib import asynccontextmanager, suppress
-from dataclasses import replace
+from contextlib import suppress
 from time import monotonic
-from types import SimpleNamespace
 
 import pytest
 
-from peridot_daemon.metrics import Metrics
-from peridot_gateway.dialect import CallerHeaders, ResponseHeaders
-from peridot_gateway.estimates import Estimates
-from peridot_gateway.ingress import Ingress
 from peridot_gateway.memory import MIB, divide_memory
-from peridot_gateway.routes import RouteIndex
-from peridot_gateway.sender import Sender
 from peridot_gateway.sockets import RESET_ON_CLOSE
 from peridot_gateway.streams import MIN_STREAM_BYTES, PIECE_BYTES, WAITING_BYTES
-from peridot_placement.decisions import MemoryDecisionLog
-from peridot_resources.configuration import (
-    CallerLimits,
-    Configuration,
-    ServiceConfiguration,
-)
 
 # The largest download of the stated load.
 SIZE = 540 * 1000
@@ -33,21 +19,6 @@
 KNOWN_LENGTH = OK + b"Content-Length: %d\r\n\r\n" % SIZE
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
 UNTIL_CLOSE = OK + b"\r\n"
-# Kernel buffers of a caller and of the VM's side of its connection, so that most of a
-# body must wait in the VM.
-SOCKET_BYTES = 4096
-
-
-class PlainDialect:
-    def parse_caller_headers(self, headers):
-        deadline_s = int(headers["Deadline-Ms"]) / 1000
-        return CallerHeaders(headers["Request-Id"], deadline_s, None)
-
-    def build_target_headers(self, request, target, remaining_s):
-        return [("Host", request.host)]
-
-    def parse_response_headers(self, status, headers, request):
-        return ResponseHeaders(False, False, None, False, True, None, None)
 
 
 class DownloadTarget:
@@ -84,38 +55,6 @@
             writer.close()
 
 
-class Setup:
-    """An ingress before a sender and one target."""
-
-    def __init__(self, target: DownloadTarget, sender, ingress, address) -> None:
-        self.target = target
-        self.sender = sender
-        self.ingress = ingress
-        self.address = address
-        self.buffers = sender.stream_buffers
-
-    @property
-    def in_flight(self) -> int:
-        return self.sender.estimates.get("t").in_flight
-
-    async def open_caller(self, count: int = 1, path="/a/x", deadline_ms=5000):
-        """Send requests; return a reader with small buffers, and the writer."""
-        client = socket.socket()
-        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BYTES)
-        client.setblocking(False)
-        await asyncio.get_running_loop().sock_connect(client, self.address)
-        reader, writer = await asyncio.open_connection(sock=client, limit=2048)
-        request = (
-            f"GET {path} HTTP/1.1\r\nHost: a.example\r\nRequest-Id: id\r\n"
-            f"Deadline-Ms: {deadline_ms}\r\n\r\n"
-        )
-        writer.write(request.encode() * count)
-        return reader, writer
-
-    def log_values(self, event: str, name: str) -> list:
-        return [values[name] for key, values in self.ingress.log.events if key == event]
-
-
 async def read_response(reader) -> bytes:
     """Return a whole body; raise an error if the response isn't complete."""
     head = (await reader.readuntil(b"\r\n\r\n")).lower()
@@ -131,47 +70,9 @@
 
 
 @pytest.fixture
-def run(make_route, make_target):
-    @asynccontextmanager
-    async def serve():
-        target = DownloadTarget()
-        server = await asyncio.start_server(target.serve, "127.0.0.1", 0)
-        host, port = server.sockets[0].getsockname()
-        instance = replace(make_target("t"), address=f"{host}:{port}")
-        sender = Sender(PlainDialect(), Estimates(), MemoryDecisionLog())
-
-        async def handle(request):
-            result = await sender.attempt(request, instance, request.remaining_s())
-            return result.outcome
-
-        routes = (
-            make_route(path_prefix="/a/", timeout_s=10.0),
-            make_route(False, name="r2", path_prefix="/o/", timeout_s=10.0),
-        )
-        services = {"files": ServiceConfiguration("files", False, 100, 1.0)}
-        configuration = Configuration(1, routes, services, CallerLimits())
-        ingress = Ingress(
-            PlainDialect(),
-            SimpleNamespace(
-                configuration=configuration, index=RouteIndex(configuration)
-            ),
-            SimpleNamespace(handle=handle),
-            Metrics(),
-            MemoryDecisionLog(),
-            random.Random(1),
-        )
-        async with server, ingress.serve("127.0.0.1:0"):
-            listener = ingress.site._server.sockets[0]
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BYTES)
-            yield Setup(target, sender, ingress, listener.getsockname())
-            await sender.close()
-
+def run(run_with_target):
     def run_scenario(scenario) -> None:
-        async def check():
-            async with asyncio.timeout(15), serve() as setup:
-                await scenario(setup)
-
-        asyncio.run(check())
+        run_with_target(DownloadTarget(), scenario)
 
     return run_scenario
 
--- a/packages/gateway/tests/test_uploads.py
+++ b/packages/gateway/tests/test_uploads.py
@@ -1,4 +1,8 @@
-"""Pattern: large bodies, many at once, slow ones, and some that end early."""
+"""Pattern: large bodies, many at once, slow ones, and some that end early.
+
+Bodies of requests that may be repeated (/a/) are read whole; test_passed_bodies.py has
+those that are passed on.
+"""
 
 import asyncio
 from time import monotonic
@@ -8,14 +12,16 @@
 MIB = 2**20
 
 
-def head(request_id: str, length: int | None, deadline_ms: int = 1200) -> bytes:
+def head(
+    request_id: str, length: int | None, deadline_ms: int = 1200, path: str = "/o/x"
+) -> bytes:
     framing = (
         "Transfer-Encoding: chunked"
         if length is None
         else (f"Content-Length: {length}")
     )
     return (
-        f"POST /o/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: {request_id}\r\n"
+        f"POST {path} HTTP/1.1\r\nHost: a.example\r\nRequest-Id: {request_id}\r\n"
         f"Deadline-Ms: {deadline_ms}\r\n{framing}\r\n\r\n"
     ).encode()
 
@@ -40,7 +46,7 @@
 
     async def scenario(ingress, router, reader, writer):
         body = b"x" * (3 * MIB)
-        writer.write(head("id-1", None if chunked else len(body)))
+        writer.write(head("id-1", None if chunked else len(body), path="/a/x"))
         if chunked:
             body = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
         writer.write(body)
@@ -54,7 +60,7 @@
 @pytest.mark.parametrize("chunked", [True, False])
 def test_larger_bodies_are_refused_and_not_run(chunked, open_ingress):
     async def scenario(ingress, router, reader, writer):
-        writer.write(head("id-1", None if chunked else 5 * MIB))
+        writer.write(head("id-1", None if chunked else 5 * MIB, path="/a/x"))
         if chunked:
             writer.write(b"%x\r\n" % (5 * MIB) + b"x" * (5 * MIB))
         assert await read_status(reader) == 413
@@ -63,13 +69,14 @@
     run(open_ingress, scenario)
 
 
+@pytest.mark.parametrize(("path", "held"), [("/a/x", 2 * MIB), ("/o/x", 3 * MIB)])
 def test_bodies_beyond_the_memory_for_them_are_refused_before_they_are_read(
-    open_ingress,
+    path, held, open_ingress
 ):
     async def scenario(ingress, router, reader, writer):
         ingress.body_reader.max_held_bytes = 3 * MIB
-        ingress.body_reader.held_bytes = 2 * MIB
-        writer.write(head("id-1", 2 * MIB))
+        ingress.body_reader.held_bytes = held
+        writer.write(head("id-1", 2 * MIB, path=path))
         response = await reader.readuntil(b"\r\n\r\n")
         assert b" 503 " in response and b"Retry-After" in response
         assert router.ran == []
