--- a/packages/gateway/peridot_gateway/sender.py
+++ b/packages/gateway/peridot_gateway/sender.py
@@ -189,21 +189,6 @@
     return session
 
 
-def find_caller_fault(request: GatewayRequest, result: AttemptResult) -> Unknown | None:
-    """Return the outcome if the caller didn't send its body.
-
-    Such an attempt says nothing about its target.
-    """
-    upload = request.upload
-    if upload is None or not isinstance(result.outcome, Unknown):
-        return None
-    if upload.failed is not None:
-        return Unknown(upload.failed, "the caller's body isn't complete")
-    if result.outcome.reason is Reason.DEADLINE and upload.starved:
-        return Unknown(Reason.DEADLINE, "the caller's body isn't complete")
-    return None
-
-
 class Sender:
     """Send attempts to targets over pooled connections."""
 
@@ -261,7 +246,8 @@
                 # Out of time, or refused in an unusual way.
                 detail = f"not connected: {result.outcome.reason}"
                 result = AttemptResult(NotRun(Reason.TARGET_LOST, detail=detail))
-            if (fault := find_caller_fault(request, result)) is not None:
+            upload = request.upload
+            if upload is not None and (fault := upload.find_fault(result.outcome)):
                 return AttemptResult(fault)
             result = self._record_result(target, estimate, result, began, ahead)
             if (stream := result.stream) is not None:
--- a/packages/gateway/peridot_gateway/streams.py
+++ b/packages/gateway/peridot_gateway/streams.py
@@ -18,8 +18,8 @@
 from peridot_routing.outcomes import Answered, BodyStream, Outcome, Reason, Unknown
 
 # aiohttp stops reading a target's connection at twice this size: a stream must not
-# hold much beside its own buffer.
-READ_BUFFER_BYTES = 16 * 2**10
+# hold much beside its own buffer. Small responses fit, so that they aren't paused.
+READ_BUFFER_BYTES = 32 * 2**10
 # Size of the pieces in which bytes are taken from targets and written to callers.
 PIECE_BYTES = 32 * 2**10
 # What a stream may hold even if the memory of all streams is in use, so that each goes
@@ -27,7 +27,7 @@
 MIN_STREAM_BYTES = 64 * 2**10
 # What aiohttp and the kernel hold at most for a stream that waits for room, beside its
 # buffer: twice READ_BUFFER_BYTES, and 100 KB each in the two sockets' buffers.
-WAITING_BYTES = 232 * 2**10
+WAITING_BYTES = 264 * 2**10
 # Bytes in the write buffer of a caller's connection above which the stream waits.
 WRITE_BUFFER_BYTES = 32 * 2**10
 # Send buffer in the kernel, which doubles it. It would grow to megabytes for a caller
@@ -37,7 +37,7 @@
 DEFAULT_STREAM_BYTES = 32 * 2**20
 # Shortest silence of a target that ends a stream (s): other streams on the VM's link
 # may delay bytes that are on their way.
-MIN_SILENCE_S = 2.0
+MIN_SILENCE_S = 3.0
 # After the deadline, callers must take bytes at least this often (s), and be done after
 # a time (s). The bytes have been read from the target by then.
 STALL_S = 4.0
@@ -177,6 +177,8 @@
         self.broken: str | None = None
         # Called when the stream breaks, also while its caller reads nothing.
         self.handle_broken: Callable[[], None] = lambda: None
+        # Whether the target waits, as there is no room.
+        self.throttled = False
         self.changed = asyncio.Event()
         self.arrived = asyncio.Event()
         self.task: asyncio.Task[None] | None = None
@@ -203,6 +205,8 @@
                 async with asyncio.timeout(max(0.0, self.deadline - monotonic())):
                     await self._receive()
             except TimeoutError:
+                if not self.throttled:
+                    handle_target_failure()
                 self._break("deadline")
             except CancelledError:
                 # Closes the connection: the rest of the response isn't read.
@@ -235,9 +239,11 @@
     async def _wait_for_room(self) -> None:
         try:
             while not self.buffers.has_room(self):
+                self.throttled = True
                 self.buffers.waiting.add(self)
                 self.changed.clear()
                 await self.changed.wait()
+            self.throttled = False
         finally:
             self.buffers.waiting.discard(self)
 
--- a/packages/gateway/peridot_gateway/uploads.py
+++ b/packages/gateway/peridot_gateway/uploads.py
@@ -5,11 +5,12 @@
 from aiohttp import web
 from aiohttp.http import HttpVersion11
 
-from peridot_routing.outcomes import Reason
+from peridot_routing.outcomes import Outcome, Reason, Unknown
 
 # Larger bodies are passed on while they arrive.
 SMALL_BODY_BYTES = 64 * 2**10
-# aiohttp stops reading a caller's connection at twice this size.
+# aiohttp stops reading a caller's connection at twice this size. Small bodies fit, so
+# that they aren't paused.
 READ_BUFFER_BYTES = 32 * 2**10
 # Size of the pieces in which bytes are written to targets.
 PIECE_BYTES = 32 * 2**10
@@ -63,6 +64,20 @@
         self.starved = False
         return piece
 
+    def find_fault(self, outcome: Outcome) -> Unknown | None:
+        """Return the outcome of an attempt if the caller didn't send its body.
+
+        Such an attempt says nothing about its target.
+        """
+        if not isinstance(outcome, Unknown):
+            return None
+        reason = self.failed
+        if outcome.reason is Reason.DEADLINE and self.starved:
+            reason = Reason.DEADLINE
+        if reason is None:
+            return None
+        return Unknown(reason, "the caller's body isn't complete")
+
 
 def answer_expectation(http_request: web.BaseRequest) -> None:
     """Tell a caller that waits for it (Expect: 100-continue) to send the body."""
--- a/packages/gateway/tests/test_streams.py
+++ b/packages/gateway/tests/test_streams.py
@@ -172,6 +172,7 @@
         await wait_until(lambda: not setup.buffers.open, 2.0)
         assert 0.3 < monotonic() - began < 0.8
         assert setup.buffers.aborted == 1 and setup.buffers.held_bytes == 0
+        assert setup.sender.estimates.get("t").failed == 0
         await wait_until(lambda: not (setup.in_flight or setup.target.open))
         with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
             await read_response(reader)
