--- a/packages/gateway/peridot_gateway/ingress.py
+++ b/packages/gateway/peridot_gateway/ingress.py
@@ -25,7 +25,7 @@
     close_result,
     discard_run,
 )
-from peridot_gateway.uploads import READ_BUFFER_BYTES, Upload
+from peridot_gateway.uploads import READ_BUFFER_BYTES, Upload, is_expecting
 from peridot_placement.decisions import DecisionLog
 from peridot_resources.configuration import Route, ServiceConfiguration
 from peridot_routing.outcomes import (
@@ -173,6 +173,9 @@
         took_s = monotonic() - http_request.arrival.began
         self._record_outcome(route, caller_headers, outcome, took_s)
         response = to_response(outcome)
+        if is_expecting(http_request):
+            # The caller may send the body or leave it out: the next bytes are unclear.
+            response.force_close()
         self._close_if_stopping(http_request, response)
         if isinstance(response, PassedResponse):
             try:
--- a/packages/gateway/peridot_gateway/uploads.py
+++ b/packages/gateway/peridot_gateway/uploads.py
@@ -81,10 +81,14 @@
 
 def answer_expectation(http_request: web.BaseRequest) -> None:
     """Tell a caller that waits for it (Expect: 100-continue) to send the body."""
-    if (
+    if is_expecting(http_request) and http_request.transport is not None:
+        http_request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+
+def is_expecting(http_request: web.BaseRequest) -> bool:
+    """Return whether a caller asked whether to send a body that isn't complete."""
+    return (
         http_request.headers.get("Expect", "").lower() == "100-continue"
         and http_request.version >= HttpVersion11
         and not http_request.content.is_eof()
-        and http_request.transport is not None
-    ):
-        http_request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+    )
--- a/packages/gateway/tests/test_passed_bodies.py
+++ b/packages/gateway/tests/test_passed_bodies.py
@@ -243,6 +243,19 @@
     run(scenario)
 
 
+def test_a_refusal_instead_of_a_permission_closes_the_connection(run):
+    """Guards against a next request that is taken for the body that was left out."""
+
+    async def scenario(setup, reader, writer):
+        setup.ingress.body_reader.max_held_bytes = 1
+        writer.write(head(SIZE, extra="Expect: 100-continue\r\n"))
+        response = await reader.readuntil(b"\r\n\r\n")
+        assert b" 503 " in response and b"connection: close" in response.lower()
+        assert setup.target.heads == []
+
+    run(scenario)
+
+
 @pytest.mark.parametrize("taken", [True, False])
 def test_a_body_is_sent_again_only_if_no_target_got_a_part(
     taken, route_with, make_request
