--- a/packages/gateway/tests/test_streams.py
+++ b/packages/gateway/tests/test_streams.py
@@ -29,6 +29,8 @@
         self.body = BODY
         # close, reset or stall after the body; anything else waits for a request.
         self.then = ""
+        # Time before each response (s).
+        self.delay_s = 0.0
         self.open = 0
         self.accepted = 0
 
@@ -37,6 +39,7 @@
         self.accepted += 1
         try:
             while await reader.readuntil(b"\r\n\r\n"):
+                await asyncio.sleep(self.delay_s)
                 writer.write(self.head + self.body)
                 await writer.drain()
                 if self.then == "reset":
@@ -249,6 +252,22 @@
     run(scenario)
 
 
+def test_a_response_for_a_caller_that_left_before_it_is_dropped(run):
+    """Guards against streams that nobody reads, of requests that go on alone."""
+
+    async def scenario(setup):
+        setup.buffers.max_bytes, setup.target.delay_s = 0, 0.2
+        _, writer = await setup.open_caller(path="/o/x")
+        await wait_until(lambda: setup.in_flight)
+        writer.transport.abort()
+        await asyncio.sleep(0.1)
+        assert setup.in_flight
+        await wait_until(lambda: not (setup.target.open or setup.in_flight))
+        assert setup.buffers.held_bytes == 0 and not setup.buffers.open
+
+    run(scenario)
+
+
 def test_many_streams_share_the_memory_of_the_smallest_vm(run):
     """Guards against a VM that is killed for its memory, and against starved streams.
 
