--- /dev/null
+++ b/packages/gateway/peridot_gateway/coldtargets.py
@@ -0,0 +1,370 @@
+"""Cold targets: what this VM knows of them, and what the placer allots to VMs."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+from time import monotonic
+
+from peridot_gateway.sources import ConfigurationSource
+from peridot_gateway.targets import TargetSource
+from peridot_ownership.ranges import RangeTable
+from peridot_placement.decisions import DecisionLog
+from peridot_placement.signals import ChangeSignal
+from peridot_resources.configuration import ServiceConfiguration, TargetInstance
+from peridot_routing.outcomes import NotRun, Outcome, Reason
+from peridot_scheduling.cold_starts import (
+    ALONE_SHARE,
+    ASSIGNMENT_S,
+    Allotment,
+    Allowance,
+    ColdLimits,
+    ColdTimes,
+    find_limits,
+    is_sender_alone,
+)
+from peridot_wire import peridot_pb2 as pb
+
+# A new placer allots nothing for this long (s): assignments of the former one have
+# lapsed by then, and all VMs have joined.
+TERM_DELAY_S = 3.0
+# A member without reports for this time (s) has left.
+MEMBER_FRESH_S = 2.0
+# Targets say themselves for how long they are cold; more than this multiple of the
+# service's time is an error.
+MAX_COLD_FACTOR = 2.0
+# Failures to reach a target of as many VMs are no fault of one VM's network.
+MIN_REPORTERS = 2
+UNREACHED_REASONS = frozenset((Reason.CONNECTION_REFUSED, Reason.TARGET_LOST))
+
+
+@dataclass
+class _Member:
+    """Zone and last report (s) of a VM, and its requests since by service and key."""
+
+    zone: str
+    reported_at: float
+    keys: dict[str, Counter[int]] = field(default_factory=dict)
+
+
+class ColdTargets:
+    """Limit what all VMs together send to cold targets."""
+
+    def __init__(
+        self,
+        vm: str,
+        configuration: ConfigurationSource,
+        targets: TargetSource,
+        log: DecisionLog,
+        clock: Callable[[], float] = monotonic,
+    ) -> None:
+        self.vm = vm
+        self.configuration = configuration
+        self.targets = targets
+        self.log = log
+        self.clock = clock
+        # From the settings; without a factor there is no limit.
+        self.rate_factor: float | None = None
+        self.rate_slack = 0.0
+        # Returns the names of the VMs that this VM knew last.
+        self.get_known_vms: Callable[[], Iterable[str]] = lambda: ()
+        self.times = ColdTimes()
+        self.allowances: dict[str, Allowance] = {}
+        self.changed = ChangeSignal()
+        # When a placer, also on this VM, last sent its shares (s).
+        self.state_at = float("-inf")
+        # The entries that were read, and the targets logged as cold.
+        self.entries: dict[str, TargetInstance] = {}
+        self.logged: set[str] = set()
+        self.refused = 0
+        # Used while this VM is the placer.
+        self.term = 0
+        self.leading_since = float("inf")
+        self.members: dict[str, _Member] = {}
+        self.allotment = Allotment()
+        # VMs that found targets unreachable and may find them cold, by target, and when
+        # they said so (s); and the targets that count as cold because of them.
+        self.reporters: dict[str, dict[str, float]] = {}
+        self.reported: set[str] = set()
+
+    def set_limits(self, rate_factor: float | None, rate_slack: float) -> None:
+        """Set the limits of the settings."""
+        self.rate_factor, self.rate_slack = rate_factor, rate_slack
+
+    def find_limits(self, service: str) -> ColdLimits | None:
+        """Return the limits of a service's cold targets, None if it has none."""
+        found = self._find_service(service)
+        if found is None:
+            return None
+        return find_limits(
+            found.cold_rate, self.rate_factor, self.rate_slack, found.cold_s
+        )
+
+    def left_s(self, target: TargetInstance) -> float:
+        """Return for how much longer a target is cold, 0 if it isn't or has no limit."""
+        if self.find_limits(target.service) is None:
+            return 0.0
+        self._read_entry(target)
+        return self.times.left_s(target.name, self.clock())
+
+    # Sending.
+
+    def may_send(self, target: TargetInstance, draw: float) -> bool:
+        """Return whether this VM may send a request to a target now.
+
+        A draw between 0 and 1 decides which requests are sent while a target that was
+        cold gets more and more of them.
+        """
+        limits = self.find_limits(target.service)
+        if limits is None:
+            return True
+        now = self.clock()
+        if not self._is_limited(target, now):
+            return draw < self.times.ramp_share(target.name, now) or draw <= 0.0
+        self._update_alone(target, limits, now)
+        allowance = self.allowances.get(target.name)
+        return allowance is not None and allowance.may_send(now)
+
+    def take(self, target: TargetInstance, draw: float) -> bool:
+        """Take the allowance of a request; return whether it may be sent."""
+        if not self.may_send(target, draw):
+            return False
+        now = self.clock()
+        limited = self.find_limits(target.service) is not None
+        if limited and self._is_limited(target, now):
+            return self.allowances[target.name].take(now)
+        return True
+
+    def record_outcome(self, target: TargetInstance, outcome: Outcome) -> None:
+        """Record whether a target could be reached."""
+        if self.find_limits(target.service) is None:
+            return
+        now = self.clock()
+        if isinstance(outcome, NotRun) and outcome.reason in UNREACHED_REASONS:
+            self.times.record_failure(target.name, now)
+        else:
+            self.times.record_response(target.name, now)
+
+    def record_zone_return(self, zone: str) -> None:
+        """Count the targets of a zone as cold after its evacuation."""
+        for target in list(self.targets.targets.values()):
+            service = self._find_service(target.service)
+            if target.data_centre == zone and self.find_limits(target.service):
+                self._set_cold(target, service.cold_s, "evacuation_ended")
+
+    def update(self) -> None:
+        """Read new entries, and log the targets that have turned cold or warm."""
+        now = self.clock()
+        for target in self.targets.targets.values():
+            if self.entries.get(target.name) is not target:
+                self.left_s(target)
+        for name in list(self.logged):
+            if not self.times.left_s(name, now):
+                self.logged.remove(name)
+                self.allowances.pop(name, None)
+                self.log.write("target_warm", target=name)
+        names = self.targets.targets.keys()
+        self.times.remove_all_except(names)
+        for name in self.entries.keys() - names:
+            del self.entries[name]
+
+    def count_cold(self) -> int:
+        """Return how many targets are cold."""
+        return len(self.logged)
+
+    def build_reports(self) -> Iterable[pb.TargetReport]:
+        """Yield the targets that this VM couldn't reach and that may be cold."""
+        now = self.clock()
+        for name in self.times.targets:
+            target = self.targets.targets.get(name)
+            service = self._find_service(target.service) if target else None
+            if service is None or self.find_limits(service.name) is None:
+                continue
+            left_s = self.times.reported_left_s(name, service.cold_s, now)
+            if left_s > 0:
+                yield pb.TargetReport(target=name, cold_left_ms=int(left_s * 1000) + 1)
+
+    def apply_state(self, shares: Iterable[pb.ColdTarget]) -> None:
+        """Apply this VM's shares that a placer sent; others have ended."""
+        now = self.clock()
+        self.state_at = now
+        assigned = set()
+        for item in shares:
+            target = self.targets.targets.get(item.target)
+            limits = self.find_limits(target.service) if target else None
+            if limits is None:
+                continue
+            if item.left_ms:
+                self._set_cold(target, item.left_ms / 1000, "reported")
+            share = max(0, item.admit_permille - 1) / 1000
+            if not share:
+                continue
+            assigned.add(item.target)
+            allowance = self.allowances.setdefault(item.target, Allowance())
+            if self._find_service(target.service).divided_by_key:
+                allowance.permit(now)
+            else:
+                allowance.assign(min(share * limits.rate, limits.sender_rate), now)
+        for name, allowance in self.allowances.items():
+            if name not in assigned:
+                allowance.assigned_until = float("-inf")
+        self.changed.notify()
+
+    def _find_service(self, service: str) -> ServiceConfiguration | None:
+        return self.configuration.configuration.services.get(service)
+
+    def _is_limited(self, target: TargetInstance, now: float) -> bool:
+        self._read_entry(target)
+        return self.times.left_s(target.name, now) > 0 or self.times.is_doubtful(
+            target.name, now
+        )
+
+    def _read_entry(self, target: TargetInstance) -> None:
+        if self.entries.get(target.name) is not target:
+            self.entries[target.name] = target
+            self._set_cold(target, target.warm_up_left_s, "entry")
+
+    def _set_cold(self, target: TargetInstance, left_s: float, cause: str) -> None:
+        now = self.clock()
+        max_s = MAX_COLD_FACTOR * self._find_service(target.service).cold_s
+        if left_s > max_s:
+            if target.name not in self.logged:
+                self.log.write("cold_time_bounded", target=target.name, left_s=left_s)
+            left_s = max_s
+        self.times.set_cold(target.name, left_s, now)
+        left_s = self.times.left_s(target.name, now)
+        if left_s and target.name not in self.logged:
+            self.logged.add(target.name)
+            self.log.write(
+                "target_cold", target=target.name, left=round(left_s, 2), cause=cause
+            )
+
+    def _update_alone(
+        self, target: TargetInstance, limits: ColdLimits, now: float
+    ) -> None:
+        """Assign a small rate to one VM of those that have lost the placer."""
+        if now < self.state_at + ASSIGNMENT_S:
+            return
+        if is_sender_alone(target.name, self.vm, self.get_known_vms()):
+            allowance = self.allowances.setdefault(target.name, Allowance())
+            allowance.assign(min(limits.rate * ALONE_SHARE, limits.sender_rate), now)
+
+    # The placer.
+
+    def record_report(self, report: pb.FleetReport) -> None:
+        """Record what a VM reports on targets and keys."""
+        if self.rate_factor is None:
+            return
+        now = self.clock()
+        if report.leaving:
+            self.members.pop(report.vm, None)
+            return
+        member = self.members.setdefault(report.vm, _Member(report.data_centre, now))
+        member.zone, member.reported_at = report.data_centre, now
+        for item in report.keys:
+            if self._has_cold_owners(item.service):
+                counts = dict(zip(item.keys, item.counts, strict=True))
+                member.keys.setdefault(item.service, Counter()).update(counts)
+        for item in report.targets:
+            if item.cold_left_ms:
+                self._record_unreachable(report.vm, item, now)
+
+    def remove_vm(self, vm: str) -> None:
+        """Forget a VM that left."""
+        self.members.pop(vm, None)
+
+    def build_shares(
+        self, vm: str, term: int, tables: Mapping[str, RangeTable]
+    ) -> list[pb.ColdTarget]:
+        """Return a VM's shares of the allowances of all cold targets."""
+        if self.rate_factor is None:
+            return []
+        now = self.clock()
+        if term != self.term:
+            self.term, self.leading_since = term, now
+            self.allotment = Allotment()
+        cold = {
+            name: self.targets.targets[name]
+            for name in self.logged
+            if name in self.targets.targets and self.times.left_s(name, now)
+        }
+        self.allotment.remove_all_except(cold)
+        self.reported &= cold.keys()
+        self._add_demand(vm, cold, tables, now)
+        zones = self._live_zones(now)
+        return [
+            pb.ColdTarget(target=name, left_ms=left_ms, admit_permille=share + 1)
+            for name, target in cold.items()
+            for share, left_ms in [self._find_share(vm, target, zones, now)]
+            if share or left_ms
+        ]
+
+    def _find_share(
+        self, vm: str, target: TargetInstance, zones: Mapping[str, str], now: float
+    ) -> tuple[int, int]:
+        """Return a VM's share (permille) and the time that it can't know (ms)."""
+        left_ms = 0
+        if target.name in self.reported:
+            left_ms = int(self.times.left_s(target.name, now) * 1000) + 1
+        limits = self.find_limits(target.service)
+        if limits is None or now < self.leading_since + TERM_DELAY_S:
+            return 0, left_ms
+        if self._find_service(target.service).divided_by_key:
+            # All requests of the receiver for now, which are one at most.
+            return 1000 * self.allotment.issue_permit(target.name, vm, now), left_ms
+        senders = self.allotment.update_senders(
+            target.name, target.data_centre, zones, limits, now
+        )
+        share = int(1000 * limits.sender_rate / limits.rate) if vm in senders else 0
+        return share, left_ms
+
+    def _add_demand(
+        self,
+        vm: str,
+        cold: Mapping[str, TargetInstance],
+        tables: Mapping[str, RangeTable],
+        now: float,
+    ) -> None:
+        member = self.members.get(vm)
+        if member is None:
+            return
+        for service, counts in member.keys.items():
+            limits, table = self.find_limits(service), tables.get(service)
+            if limits is None or table is None:
+                continue
+            for key, count in counts.items():
+                owner = table.find(key).owner
+                if owner in cold:
+                    self.allotment.add_demand(owner, vm, count, limits, now)
+        member.keys.clear()
+
+    def _has_cold_owners(self, service: str) -> bool:
+        targets = self.targets.targets
+        return any(
+            name in targets and targets[name].service == service for name in self.logged
+        )
+
+    def _live_zones(self, now: float) -> dict[str, str]:
+        oldest = now - MEMBER_FRESH_S
+        return {
+            vm: member.zone
+            for vm, member in self.members.items()
+            if member.reported_at > oldest
+        }
+
+    def _record_unreachable(self, vm: str, item: pb.TargetReport, now: float) -> None:
+        """Count a target as cold if VMs of several zones couldn't reach it."""
+        target = self.targets.targets.get(item.target)
+        if target is None or self.find_limits(target.service) is None:
+            return
+        reporters = self.reporters.setdefault(item.target, {})
+        reporters[vm] = now
+        zones = self._live_zones(now)
+        fresh = {r for r, at in reporters.items() if at > now - MEMBER_FRESH_S}
+        self.reporters[item.target] = {r: reporters[r] for r in fresh}
+        seen_from = {zones[r] for r in fresh if r in zones}
+        enough = len(fresh) >= min(MIN_REPORTERS, len(zones)) and len(seen_from) >= min(
+            MIN_REPORTERS, len(set(zones.values()))
+        )
+        if enough or item.target in self.reported:
+            self.reported.add(item.target)
+            self._set_cold(target, item.cold_left_ms / 1000, "unreachable")
--- a/packages/gateway/peridot_gateway/daemon.py
+++ b/packages/gateway/peridot_gateway/daemon.py
@@ -16,8 +16,10 @@
 from peridot_daemon.metrics import Metrics
 from peridot_daemon.settings import split_address
 from peridot_gateway.admission import Admission
+from peridot_gateway.coldtargets import ColdTargets
 from peridot_gateway.dialect import Dialect
 from peridot_gateway.estimates import Estimates
+from peridot_gateway.evacuations import Evacuations
 from peridot_gateway.fleet import Fleet, FleetParts
 from peridot_gateway.fleetload import FleetLoad
 from peridot_gateway.ingress import Ingress
@@ -78,6 +80,8 @@
         await self._listen()
         self._start_task("configuration", self.configuration.run)
         self._start_task("targets", self.targets.run)
+        if self.evacuations is not None:
+            self._start_task("evacuations", self.evacuations.run)
         self._start_task("fleet", self.fleet.run)
         self._start_task("log", self.flush_log)
         self._start_task("sweep", self._sweep_connections)
@@ -102,6 +106,13 @@
         )
         self.configuration = ConfigurationSource(store, dialect, log)
         self.targets = TargetSource(store, dialect, log)
+        self.cold = ColdTargets(settings.vm, self.configuration, self.targets, log)
+        self.cold.set_limits(settings.cold_rate_factor, settings.cold_rate_slack)
+        self.cold.get_known_vms = lambda: self.fleet.known_vms()
+        self.evacuations = None
+        if settings.evacuate_s is not None:
+            self.evacuations = Evacuations(store, dialect, log, settings.evacuate_s)
+            self.evacuations.handle_end = self.cold.record_zone_return
         self._set_recovery_times()
         self.estimates = Estimates()
         self.owners = Owners()
@@ -114,11 +125,19 @@
             self.owners,
             self.targets,
             self.estimates,
-            Picker(settings.data_centre, self.estimates, rng),
+            Picker(
+                settings.data_centre,
+                self.estimates,
+                rng,
+                self.cold,
+                self.evacuations,
+            ),
             Admission(self.estimates),
             self.sender,
             log,
             rng,
+            self.cold,
+            self.evacuations,
         )
         self.router = GatewayRouter(
             parts,
@@ -126,7 +145,12 @@
             lambda: self.fleet.count_vms(),
             settings.leaving_grace_s,
         )
-        self.load = FleetLoad(self.configuration, self.targets)
+        self.load = FleetLoad(
+            self.configuration,
+            self.targets,
+            cold=self.cold,
+            evacuations=self.evacuations,
+        )
         self.fleet = Fleet(
             self.local_instance,
             settings.data_centre,
@@ -157,6 +181,8 @@
     def _set_recovery_times(self) -> None:
         self.configuration.set_recovery_time(self.settings.settle_s)
         self.targets.set_recovery_time(self.settings.target_recovery_s)
+        if self.evacuations is not None:
+            self.evacuations.set_recovery_time(self.settings.target_recovery_s)
 
     def _confirmed_version(self, index: int) -> int | None:
         versions = self.fleet.confirmed_versions()
@@ -215,6 +241,9 @@
         self.log.write("reloaded", changed=",".join(changed) or "-")
         self.settings = settings
         self.router.set_retry_limits(settings.repeats)
+        self.cold.set_limits(settings.cold_rate_factor, settings.cold_rate_slack)
+        if self.evacuations is not None and settings.evacuate_s is not None:
+            self.evacuations.evacuate_s = settings.evacuate_s
         self._set_recovery_times()
         self.router.leaving_grace_s = settings.leaving_grace_s
         self.fleet.parts.hold_max_s = settings.hold_max_s
@@ -304,6 +333,21 @@
             "Targets that said in responses, not in the store, that they leave.",
             lambda: len(self.targets.announced_leaving),
         )
+        gauges.add(
+            "targets_cold",
+            "Targets that bear a limited rate of requests for now.",
+            self.cold.count_cold,
+        )
+        gauges.add(
+            "cold_refusals",
+            "Requests refused because the owner of their key is cold.",
+            lambda: self.cold.refused,
+        )
+        gauges.add(
+            "zones_evacuated",
+            "Zones whose targets get no requests.",
+            lambda: len(self.evacuations.zones) if self.evacuations else 0,
+        )
         gauges.add(
             "store_era",
             "Restores of the store from a copy, as known here.",
--- a/packages/gateway/peridot_gateway/fleet.py
+++ b/packages/gateway/peridot_gateway/fleet.py
@@ -94,6 +94,8 @@
             parts.load.targets,
             StoreProbe(parts.store),
             parts.log,
+            parts.load.cold,
+            parts.load.evacuations,
         )
         self.leader = LeaderRole(
             local_instance,
@@ -130,6 +132,10 @@
         """Return the number of VMs that share a budget."""
         return self.follower.peers.count()
 
+    def known_vms(self) -> list[str]:
+        """Return the names of the VMs that were listed last."""
+        return [peer.vm for peer in self.follower.peers.instances]
+
     def is_connected(self) -> bool:
         """Return whether this VM is the placer or is connected to it."""
         return self.placer is not None or self.follower.is_connected()
@@ -359,6 +365,12 @@
     def _report_locally(self) -> None:
         self.parts.load.record_report(self.build_report())
         load = self.parts.load
+        placer = self.placer
+        if load.cold is not None and placer is not None:
+            record, vm = placer.record, self.local_instance.vm
+            load.cold.apply_state(
+                load.cold.build_shares(vm, record.term, record.tables)
+            )
         own = load.in_flight.get(self.local_instance.vm, {})
         self.parts.estimates.set_in_flight(load.in_flight_totals(), own)
         self.follower.peers.update(
@@ -392,6 +404,10 @@
                 )
                 item.finished = item.failed = item.busy_count = 0
                 item.busy_ms = 0.0
+        cold = self.parts.load.cold
+        if cold is not None:
+            cold.update()
+            report.targets.extend(cold.build_reports())
         return report
 
     def _is_store_reachable(self) -> bool:
--- a/packages/gateway/peridot_gateway/fleetload.py
+++ b/packages/gateway/peridot_gateway/fleetload.py
@@ -3,7 +3,10 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from math import inf
 
+from peridot_gateway.coldtargets import ColdTargets
+from peridot_gateway.evacuations import Evacuations
 from peridot_gateway.sources import ConfigurationSource
 from peridot_gateway.targets import TargetSource
 from peridot_ownership.loads import KeyLoads
@@ -27,6 +30,8 @@
     # Requests in flight by VM and target.
     in_flight: dict[str, dict[str, int]] = field(default_factory=dict)
     clock: Callable[[], float] = boot_time
+    cold: ColdTargets | None = None
+    evacuations: Evacuations | None = None
 
     def divided_services(self) -> list[str]:
         services = self.configuration.configuration.services.values()
@@ -47,9 +52,21 @@
     def processing_s(self, target: str) -> float | None:
         return self.processing_times.get(target)
 
+    def cold_rate(self, target: TargetInstance) -> float:
+        if self.cold is None or not self.cold.left_s(target):
+            return inf
+        return self.cold.find_limits(target.service).rate
+
+    def evacuated_for_s(self, target: TargetInstance) -> float | None:
+        if self.evacuations is None:
+            return None
+        return self.evacuations.evacuated_for_s(target)
+
     def record_report(self, report: pb.FleetReport) -> None:
         """Record one VM's report."""
         now = self.clock()
+        if self.cold is not None:
+            self.cold.record_report(report)
         for counts in report.keys:
             pairs = zip(counts.keys, counts.counts, strict=True)
             self.loads_of(counts.service).add(pairs, now)
@@ -71,6 +88,8 @@
     def remove_vm(self, vm: str) -> None:
         """Drop the requests in flight of a VM that left."""
         self.in_flight.pop(vm, None)
+        if self.cold is not None:
+            self.cold.remove_vm(vm)
 
     def in_flight_totals(self) -> Counter[str]:
         """Return the requests in flight from all VMs by target."""
--- a/packages/gateway/peridot_gateway/following.py
+++ b/packages/gateway/peridot_gateway/following.py
@@ -3,7 +3,9 @@
 from collections.abc import Callable
 from time import monotonic
 
+from peridot_gateway.coldtargets import ColdTargets
 from peridot_gateway.estimates import Estimates
+from peridot_gateway.evacuations import Evacuations
 from peridot_gateway.links import HEARTBEAT_TIMEOUT_S, LinkEndReason, follow_placer
 from peridot_gateway.messages import (
     parse_entry,
@@ -37,6 +39,8 @@
         targets: TargetSource,
         probe: StoreProbe,
         log: DecisionLog,
+        cold: ColdTargets | None = None,
+        evacuations: Evacuations | None = None,
     ) -> None:
         self.local_instance = local_instance
         self.owners = owners
@@ -44,6 +48,8 @@
         self.targets = targets
         self.probe = probe
         self.log = log
+        self.cold = cold
+        self.evacuations = evacuations
         self.peers = Peers()
         self.last_state_at = float("-inf")
         self.followed_placer: DaemonInstance | None = None
@@ -84,6 +90,8 @@
         )
         self.last_state_at = float("-inf")
         self.targets.end_push()
+        if self.evacuations is not None:
+            self.evacuations.end_push()
         self.log.write("placer_lost", placer=holder.vm, reason=end_reason)
         return end_reason
 
@@ -119,6 +127,14 @@
         else:
             self.peers.update(self.peers.instances)
         self._apply_target_entries(state)
+        if self.evacuations is not None:
+            self.evacuations.apply_pushed(
+                state.evacuations_listed,
+                state.evacuated_zones,
+                state.evacuations_version,
+            )
+        if self.cold is not None:
+            self.cold.apply_state(state.cold_targets)
         if state.in_flight_names:
             self.in_flight_names = list(state.in_flight_names)
         if len(state.in_flight_counts) == len(self.in_flight_names):
--- a/packages/gateway/peridot_gateway/picker.py
+++ b/packages/gateway/peridot_gateway/picker.py
@@ -5,7 +5,9 @@
 from dataclasses import dataclass
 from time import monotonic
 
+from peridot_gateway.coldtargets import ColdTargets
 from peridot_gateway.estimates import Estimates
+from peridot_gateway.evacuations import Evacuations
 from peridot_resources.configuration import TargetInstance
 
 # More candidates find a better target; fewer keep VMs from picking the same one.
@@ -29,12 +31,15 @@
     data_centre: str
     estimates: Estimates
     rng: random.Random
+    cold: ColdTargets | None = None
+    evacuations: Evacuations | None = None
 
     def pick(
         self, targets: Collection[TargetInstance], tried: Collection[str]
     ) -> TargetInstance | None:
         """Return a target that takes requests and wasn't tried, or None."""
         now = monotonic()
+        draw = self.rng.random() if self.cold is not None else 0.0
         usable = [
             t
             for t in targets
@@ -42,6 +47,7 @@
             and t.name not in tried
             and self.estimates.gone_for_s(t.name) is None
             and not self.estimates.pause_remaining_s(t.name)
+            and self._may_send(t, draw)
         ]
         healthy = [t for t in usable if self.estimates.get(t.name).avoid_until <= now]
         eligible = healthy or usable
@@ -52,7 +58,15 @@
         candidates = self._sample(local, LOCAL_CANDIDATES) + self._sample(
             remote, REMOTE_CANDIDATES
         )
-        return min(candidates, key=lambda target: self._cost(target, now))
+        picked = min(candidates, key=lambda target: self._cost(target, now))
+        if self.cold is not None and not self.cold.take(picked, draw):
+            return None
+        return picked
+
+    def _may_send(self, target: TargetInstance, draw: float) -> bool:
+        if self.evacuations is not None and self.evacuations.is_evacuated(target):
+            return False
+        return self.cold is None or self.cold.may_send(target, draw)
 
     def shortest_pause_s(
         self, targets: Collection[TargetInstance], tried: Collection[str]
--- a/packages/gateway/peridot_gateway/router.py
+++ b/packages/gateway/peridot_gateway/router.py
@@ -9,7 +9,9 @@
 
 from peridot_gateway.admission import Admission
 from peridot_gateway.budget import RetryBudget, RetryBudgetLimits
+from peridot_gateway.coldtargets import ColdTargets
 from peridot_gateway.estimates import PAUSE_RAMP_S, Estimates
+from peridot_gateway.evacuations import Evacuations
 from peridot_gateway.owners import Owners
 from peridot_gateway.picker import Picker
 from peridot_gateway.requests import GatewayRequest
@@ -37,6 +39,11 @@
 # Shortest remaining time (s) with which an attempt is started.
 MIN_ATTEMPT_S = 0.02
 SHED_RETRY_DELAY_S = 0.03
+# Callers of keys whose owner is cold return spread over this time (ms): keys move to
+# other owners within seconds.
+COLD_OWNER_RETRY_MS = (300, 900)
+# Time after which a request that waits for the allowance of a cold owner looks again.
+COLD_OWNER_CHECK_S = 0.1
 
 # The attempt didn't reach a target, so a retry takes nothing from the budget.
 UNDELIVERED_REASONS = frozenset((Reason.CONNECTION_REFUSED, Reason.TARGET_LOST))
@@ -54,6 +61,8 @@
     sender: Sender
     log: DecisionLog
     rng: random.Random
+    cold: ColdTargets | None = None
+    evacuations: Evacuations | None = None
 
 
 class GatewayRouter:
@@ -180,6 +189,7 @@
             MAX_OWNER_WAIT_S - unowned_s, MAX_OWNER_WAIT_SHARE * request.remaining_s()
         )
         wait_deadline = asyncio.get_running_loop().time() + wait_s
+        draw = self.parts.rng.random() if self.parts.cold is not None else 0.0
         while True:
             changed = owners.changed.next
             target = self.parts.targets.targets.get(
@@ -187,8 +197,14 @@
             )
             if target is not None and not self._is_unusable_owner(target.name):
                 pause_s = self.parts.estimates.pause_remaining_s(target.name)
-                if not pause_s:
+                if not pause_s and not self._is_held_back(target, draw):
                     return self._check_owner(request, target)
+                if not pause_s:
+                    left_s = wait_deadline - asyncio.get_running_loop().time()
+                    if left_s <= 0:
+                        return self._refuse_for_cold_owner()
+                    await self.parts.cold.changed.wait(min(left_s, COLD_OWNER_CHECK_S))
+                    continue
                 if pause_s > wait_deadline - asyncio.get_running_loop().time():
                     return self._refuse_during_pause(pause_s)
                 await asyncio.sleep(pause_s)
@@ -211,19 +227,40 @@
         retry_ms = int(1000 * (pause_s + spread_s))
         return NotRun(Reason.OVERLOADED, retry_ms, f"paused for {pause_s:.2f}")
 
+    def _is_held_back(self, target: TargetInstance, draw: float) -> bool:
+        """Return whether a cold owner bears no more; take the allowance otherwise."""
+        return self.parts.cold is not None and not self.parts.cold.take(target, draw)
+
+    def _refuse_for_cold_owner(self) -> NotRun:
+        self.parts.cold.refused += 1
+        retry_ms = int(self.parts.rng.uniform(*COLD_OWNER_RETRY_MS))
+        return NotRun(Reason.OVERLOADED, retry_ms, "owner is cold")
+
+    def _evacuated_for_s(self, name: str) -> float:
+        """Return for how long an owner has got no requests as its zone is evacuated."""
+        target = self.parts.targets.targets.get(name)
+        if target is None or self.parts.evacuations is None:
+            return 0.0
+        return max(0.0, self.parts.evacuations.overdue_s(target))
+
     def _unowned_s(self, service: str, key: int) -> float:
         """Return for how long a key has had no usable owner (s), 0 if it has one."""
         owner = self.parts.owners.find(service, key)
         gone_for_s = self.parts.estimates.gone_for_s(owner) if owner else None
         overdue_s = self.parts.targets.leaving_for_s(owner) - self.leaving_grace_s
         return max(
-            gone_for_s or 0.0, overdue_s, self.parts.owners.unowned_s(service, key)
+            gone_for_s or 0.0,
+            overdue_s,
+            self._evacuated_for_s(owner),
+            self.parts.owners.unowned_s(service, key),
         )
 
     def _is_unusable_owner(self, target: str) -> bool:
         """Return whether an owner gets no new requests before it is replaced."""
         if self.parts.estimates.gone_for_s(target) is not None:
             return True
+        if self._evacuated_for_s(target) > 0:
+            return True
         return self.parts.targets.leaving_for_s(target) > self.leaving_grace_s
 
     def _check_owner(
@@ -246,6 +283,8 @@
             lambda: self._may_give_up(request, target),
         )
         outcome = result.outcome
+        if self.parts.cold is not None:
+            self.parts.cold.record_outcome(target, outcome)
         if not (isinstance(outcome, NotRun) and outcome.reason in UNDELIVERED_REASONS):
             request.delivery_count += 1
             request.tried_targets.add(target.name)
--- a/packages/gateway/peridot_gateway/states.py
+++ b/packages/gateway/peridot_gateway/states.py
@@ -84,6 +84,14 @@
         if monotonic() >= sent.in_flight_sent_at + IN_FLIGHT_PERIOD_S:
             self._add_in_flight(state, vm, sent)
             sent.in_flight_sent_at = monotonic()
+        if self.load.cold is not None:
+            state.cold_targets.extend(
+                self.load.cold.build_shares(
+                    vm, placer.record.term, placer.record.tables
+                )
+            )
+        if self.load.evacuations is not None:
+            self._add_evacuations(state)
         if self.load.targets.reachable and self.load.targets.loaded:
             self._add_target_entries(state, sent)
         return state
@@ -144,6 +152,15 @@
         state.entries_revision = targets.revision
         sent.change_count = targets.change_count
 
+    def _add_evacuations(self, state: pb.FleetState) -> None:
+        """Add the evacuated zones if the store confirms them."""
+        evacuations = self.load.evacuations
+        revision = evacuations.confirmed_revision
+        if revision:
+            state.evacuations_listed = True
+            state.evacuated_zones.extend(evacuations.zones)
+            state.evacuations_version = revision
+
     def _add_members(self, state: pb.FleetState) -> None:
         state.members_listed = True
         for holder in [self.local_instance, *self.roster.instances()]:
--- a/packages/ownership/peridot_ownership/placer.py
+++ b/packages/ownership/peridot_ownership/placer.py
@@ -42,6 +42,9 @@
 ANNOUNCE_DELAY_S = 0.01
 # Processing time of a request assumed until one has been measured.
 DEFAULT_PROCESSING_S = 0.2
+# Moves out of an evacuated zone are postponed for this long at most, so that keys that
+# can't be released arrive in time, when their leases have expired.
+EVACUATION_DELAY_S = 0.5
 # A target that warms up processes requests slower by this factor.
 WARM_UP_FACTOR = 2.0
 
@@ -276,10 +279,13 @@
             state = self.target_states.get(target.name)
             if target.leaving or state is None or state.is_failing(now):
                 continue
+            if self.view.evacuated_for_s(target) is not None:
+                continue
             processing_s = self.view.processing_s(target.name) or DEFAULT_PROCESSING_S
             if target.warm_up_left_s > 0:
                 processing_s *= WARM_UP_FACTOR
-            capacities[target.name] = target.slots / processing_s
+            capacity = target.slots / processing_s
+            capacities[target.name] = min(capacity, self.view.cold_rate(target))
         return capacities
 
     # Moves.
@@ -358,6 +364,9 @@
         if state is None or state.is_failing(now):
             return False
         is_revocable = self.lease_manager.revocable_from(state, move.keys) <= now
+        evacuated_for_s = self.view.evacuated_for_s(state.target)
+        if evacuated_for_s is not None:
+            return not is_revocable and evacuated_for_s < EVACUATION_DELAY_S
         if state.leaving_since is None:
             return not is_revocable
         return not is_revocable and now - state.leaving_since < self.leaving_grace_s
--- a/packages/ownership/peridot_ownership/view.py
+++ b/packages/ownership/peridot_ownership/view.py
@@ -1,6 +1,7 @@
 """The interface by which the placer (gateway mode) reads targets and their load."""
 
 from abc import ABC, abstractmethod
+from math import inf
 
 from peridot_ownership.loads import KeyLoads
 from peridot_resources.configuration import TargetInstance
@@ -32,3 +33,11 @@
     @abstractmethod
     def processing_s(self, target: str) -> float | None:
         """Return a target's mean processing time of a request (s), None if unknown."""
+
+    def cold_rate(self, target: TargetInstance) -> float:
+        """Return how many requests a cold target bears (1/s), infinite if it is warm."""
+        return inf
+
+    def evacuated_for_s(self, target: TargetInstance) -> float | None:
+        """Return for how long a target's zone may have been evacuated (s), or None."""
+        return None
