--- a/packages/gateway/peridot_gateway/coldtargets.py
+++ b/packages/gateway/peridot_gateway/coldtargets.py
@@ -100,7 +100,7 @@
         )
 
     def left_s(self, target: TargetInstance) -> float:
-        """Return for how much longer a target is cold, 0 if it isn't or has no limit."""
+        """Return for how much longer a target is cold, 0 if it has no limit."""
         if self.find_limits(target.service) is None:
             return 0.0
         self._read_entry(target)
@@ -119,7 +119,7 @@
             return True
         now = self.clock()
         if not self._is_limited(target, now):
-            return draw < self.times.ramp_share(target.name, now) or draw <= 0.0
+            return draw < self.times.ramp_share(target.name, now)
         self._update_alone(target, limits, now)
         allowance = self.allowances.get(target.name)
         return allowance is not None and allowance.may_send(now)
@@ -143,6 +143,11 @@
             self.times.record_failure(target.name, now)
         else:
             self.times.record_response(target.name, now)
+        if now >= self.state_at + ASSIGNMENT_S:
+            # No placer collects what the VMs saw.
+            cold_s = self._find_service(target.service).cold_s
+            left_s = self.times.reported_left_s(target.name, cold_s, now)
+            self._set_cold(target, left_s, "unreachable")
 
     def record_zone_return(self, zone: str) -> None:
         """Count the targets of a zone as cold after its evacuation."""
@@ -153,6 +158,8 @@
 
     def update(self) -> None:
         """Read new entries, and log the targets that have turned cold or warm."""
+        if self.rate_factor is None:
+            return
         now = self.clock()
         for target in self.targets.targets.values():
             if self.entries.get(target.name) is not target:
@@ -246,7 +253,8 @@
             return
         if is_sender_alone(target.name, self.vm, self.get_known_vms()):
             allowance = self.allowances.setdefault(target.name, Allowance())
-            allowance.assign(min(limits.rate * ALONE_SHARE, limits.sender_rate), now)
+            rate = min(limits.rate * ALONE_SHARE, limits.sender_rate)
+            allowance.assign(rate, now, alone=True)
 
     # The placer.
 
--- a/packages/gateway/peridot_gateway/daemon.py
+++ b/packages/gateway/peridot_gateway/daemon.py
@@ -47,6 +47,8 @@
 SWEEP_PERIOD_S = 5.0
 # The settings file may change without a SIGHUP.
 SETTINGS_CHECK_PERIOD_S = 1.0
+# Targets turn cold or warm within this time for the logs and the placer.
+COLD_UPDATE_PERIOD_S = 0.25
 
 
 @dataclass(frozen=True)
@@ -82,6 +84,7 @@
         self._start_task("targets", self.targets.run)
         if self.evacuations is not None:
             self._start_task("evacuations", self.evacuations.run)
+        self._start_task("cold", self._update_cold_targets)
         self._start_task("fleet", self.fleet.run)
         self._start_task("log", self.flush_log)
         self._start_task("sweep", self._sweep_connections)
@@ -277,6 +280,12 @@
         body = generate_latest(self.metrics.registry)
         return web.Response(body=body, headers={"Content-Type": CONTENT_TYPE_LATEST})
 
+    async def _update_cold_targets(self) -> None:
+        """Follow which targets are cold periodically."""
+        while True:
+            self.cold.update()
+            await asyncio.sleep(COLD_UPDATE_PERIOD_S)
+
     async def _sweep_connections(self) -> None:
         """Close the connections of removed targets periodically."""
         while True:
--- a/packages/gateway/peridot_gateway/fleet.py
+++ b/packages/gateway/peridot_gateway/fleet.py
@@ -406,7 +406,6 @@
                 item.busy_ms = 0.0
         cold = self.parts.load.cold
         if cold is not None:
-            cold.update()
             report.targets.extend(cold.build_reports())
         return report
 
--- a/packages/ownership/peridot_ownership/view.py
+++ b/packages/ownership/peridot_ownership/view.py
@@ -35,7 +35,7 @@
         """Return a target's mean processing time of a request (s), None if unknown."""
 
     def cold_rate(self, target: TargetInstance) -> float:
-        """Return how many requests a cold target bears (1/s), infinite if it is warm."""
+        """Return the rate that a cold target bears (1/s), infinite if it is warm."""
         return inf
 
     def evacuated_for_s(self, target: TargetInstance) -> float | None:
--- a/packages/ownership/tests/test_placer.py
+++ b/packages/ownership/tests/test_placer.py
@@ -26,7 +26,7 @@
 from peridot_ownership.holds import Unanswered, max_lease_s
 from peridot_ownership.loads import KeyLoads
 from peridot_ownership.placer import RENEWAL_PERIOD_S, Placer
-from peridot_ownership.ranges import ALL_KEYS, KeyRange, RangeTable
+from peridot_ownership.ranges import ALL_KEYS, KEY_SPACE, KeyRange, RangeTable
 from peridot_ownership.record import (
     FENCES_PER_TERM,
     RECORD_KIND,
@@ -101,6 +101,9 @@
         self.reused: set[str] = set()
         # For how long targets have been leaving (s).
         self.leaving_for: dict[str, float] = {}
+        # Targets whose zone is evacuated, and cold ones.
+        self.evacuated: set[str] = set()
+        self.cold: set[str] = set()
 
     def divided_services(self) -> list[str]:
         return [SERVICE]
@@ -120,6 +123,12 @@
     def processing_s(self, target: str) -> float | None:
         return 0.1
 
+    def cold_rate(self, target: TargetInstance) -> float:
+        return 4.5 if target.name in self.cold else float("inf")
+
+    def evacuated_for_s(self, target: TargetInstance) -> float | None:
+        return 0.0 if target.name in self.evacuated else None
+
     def change(self, name: str, **changes) -> None:
         self.targets = [
             replace(item, **changes) if item.name == name else item
@@ -883,3 +892,57 @@
         assert not harness.lease_client.violations
 
     run(check())
+
+
+def test_many_ranges_leave_an_evacuated_zone_with_handover_in_time():
+    """Guards against moves one after the other while a zone is evacuated."""
+    evacuate_s, margin_s = 5.0, 1.0
+    names = [f"t{i}" for i in range(24)]
+
+    async def check():
+        harness = PlacerHarness(" ".join(names))
+        zone = set(names[:8])
+        async with harness.run_placer("a") as placer:
+            await wait_until(placer, lambda: harness.owners(placer) == set(names))
+            table = placer.record.tables[SERVICE]
+            for key in range(0, KEY_SPACE, KEY_SPACE // 200):
+                # Many small ranges, which don't merge with their neighbours.
+                owner = names[key * 7 % len(names)]
+                table.assign(KeyRange(key, key + 1), owner, placer.record.next_fence())
+            await asyncio.sleep(RENEWAL_PERIOD_S)
+            harness.store.delay_s = 0.1
+            began = monotonic()
+            harness.view.evacuated = zone
+            await wait_until(
+                placer, lambda: not zone & harness.owners(placer), evacuate_s
+            )
+            assert monotonic() - began < evacuate_s - margin_s
+            await asyncio.sleep(0.5)
+            assert not zone & harness.owners(placer)
+
+    run(check())
+
+
+def test_a_cold_target_keeps_keys_for_the_rate_that_it_bears():
+    """Guards against an owner that turned cold and gets the load of a warm one."""
+
+    async def check():
+        harness = PlacerHarness("p q r")
+        async with harness.run_placer("a") as placer:
+            await wait_until(placer, lambda: harness.owners(placer) == {"p", "q", "r"})
+            harness.view.cold = {"p"}
+
+            def rate() -> float:
+                pairs = [(key, 1) for key in range(0, KEY_SPACE, KEY_SPACE // 60)]
+                harness.view.loads.add(pairs, boot_time())
+                profile = harness.view.loads.profile(boot_time())
+                table = placer.record.tables[SERVICE]
+                owned = sum(profile.load(r.keys) for r in table.owned_by("p"))
+                return owned / profile.total
+
+            await wait_until(placer, lambda: rate() < 0.2, 5.0, idle=False)
+            moves = [line for line in harness.log.lines if "event=moved" in line]
+            assert any("source=p" in line for line in moves)
+            assert placer.record.tables[SERVICE].owned_by("p")
+
+    run(check())
--- a/packages/scheduling/peridot_scheduling/cold_starts.py
+++ b/packages/scheduling/peridot_scheduling/cold_starts.py
@@ -98,9 +98,11 @@
 
     Those in its zone come first, so that it stays reachable if the zone is cut off.
     """
-    return sorted(
-        vms, key=lambda vm: (vms[vm] != zone, -xxh64_intdigest(f"{target}\0{vm}"), vm)
-    )
+
+    def rank(vm: str) -> tuple[bool, int, str]:
+        return vms[vm] != zone, xxh64_intdigest(f"{vm}\0{target}".encode()), vm
+
+    return sorted(vms, key=rank)
 
 
 @dataclass
@@ -226,12 +228,15 @@
     bucket: TokenBucket | None = None
     assigned_until: float = -inf
     permit_until: float = -inf
+    # Whether this VM assigned the rate itself, without a placer.
+    alone: bool = False
 
-    def assign(self, rate: float, now: float) -> None:
-        """Set the rate that the placer assigned."""
-        if self.bucket is None or self.assigned_until <= now:
+    def assign(self, rate: float, now: float, alone: bool = False) -> None:
+        """Set the rate that is assigned; a new sender begins without a burst."""
+        lapsed = self.assigned_until <= now and not alone
+        if self.bucket is None or lapsed or alone != self.alone:
             self.bucket = TokenBucket(rate, now)
-        self.bucket.rate = rate
+        self.bucket.rate, self.alone = rate, alone
         self.assigned_until = now + ASSIGNMENT_S
 
     def permit(self, now: float) -> None:
@@ -293,8 +298,10 @@
         pending = [at for at in shares.free_from if at > now]
         pending += [now + REASSIGNMENT_DELAY_S] * lost
         free = max(0, count - len(kept) - len(pending))
-        others = [vm for vm in rank_senders(target, zone, vms) if vm not in kept]
-        shares.senders, shares.free_from = kept + others[:free], pending
+        if free:
+            ranked = rank_senders(target, zone, vms)
+            kept += [vm for vm in ranked if vm not in kept][:free]
+        shares.senders, shares.free_from = kept, pending
         return shares.senders
 
     def add_demand(
