Issue permits for cold owners with the burst that the limit leaves

Cause: at 4 requests a second an owner got 3.0, as permits came one at a time. Change: permits lapse after 0.1 s, which leaves room for a burst of 1.975.

--- a/packages/gateway/tests/test_coldtargets.py
+++ b/packages/gateway/tests/test_coldtargets.py
@@ -51,7 +51,8 @@
         self.order = count()
         self.sent_at: list[float] = []
         self.arrived = 0
-        self.limited = True
+        self.limited, self.evacuated = True, False
+        self.waits: list[float] = []
         for vm in self.vms:
             self.after(self.rng.uniform(0, STATE_PERIOD_S), self.exchange, vm)
         self.after(0.0, self.arrive)
@@ -112,6 +113,8 @@
         self.request(self.rng.choice(list(self.vms)), retries=1)
 
     def request(self, vm: str, retries: int) -> None:
+        if self.evacuated:
+            return
         self.counts[vm][KEY] += self.divided
         wait_s = WAIT_S if self.divided else 0.0
         self.attempt(vm, self.now + wait_s, self.rng.random(), retries)
@@ -121,6 +124,7 @@
             self.vms[vm].targets.targets["t"], draw
         ):
             self.sent_at.append(self.now)
+            self.waits.append(self.now - deadline + WAIT_S * self.divided)
         elif self.now < deadline:
             if self.now == deadline - WAIT_S and not self.vms[vm].report_requested:
                 self.vms[vm].request_report()
@@ -268,6 +272,22 @@
     assert sum("event=target_cold" in line for line in fleet.log.lines) == 8
 
 
+@pytest.mark.parametrize("divided", [True, False])
+def test_a_whole_zone_that_returns_keeps_the_limit_of_each_target(divided):
+    """Guards against all VMs sending to a zone as soon as they learn of its return."""
+    fleet = Fleet(71, divided, 60.0)
+    fleet.run(TERM_DELAY_S + 1.0)
+    fleet.evacuated = True
+    fleet.run(1.5)
+    began = fleet.now
+    for vm in fleet.vms.values():
+        fleet.after(fleet.rng.uniform(0, 0.5), vm.record_zone_return, "z1")
+    fleet.run(0.5)
+    fleet.evacuated = False
+    fleet.run(COLD_S - 1.0)
+    assert 1 <= fleet.peak(began, fleet.now) <= LIMIT
+
+
 def test_nothing_is_limited_without_the_settings():
     """Guards against limits where a deployment asks for none."""
     fleet = Fleet(2, True, 5.0)
--- a/packages/gateway/tests/test_fleet.py
+++ b/packages/gateway/tests/test_fleet.py
@@ -3,15 +3,17 @@
 import asyncio
 import random
 from dataclasses import replace
+from time import monotonic
 from types import SimpleNamespace
 
 from peridot_fakes.fleet import free_ports
 from peridot_fakes.holders import MemoryLeaseClient
 from peridot_gateway import fleet as fleet_module
+from peridot_gateway.coldtargets import ColdTargets
 from peridot_gateway.estimates import Estimates
 from peridot_gateway.fleet import ASKED_VM_COUNT, START_JITTER_S, Fleet, FleetParts
 from peridot_gateway.fleetload import FleetLoad
-from peridot_gateway.links import FleetServer, serve_fleet
+from peridot_gateway.links import FleetServer, follow_placer, serve_fleet
 from peridot_gateway.owners import Owners
 from peridot_gateway.roster import Peers
 from peridot_gateway.sources import ConfigurationSource
@@ -153,3 +155,43 @@
     ]
     small_s, middle_s, large_s = [fleet._start_delay_s() for fleet in delays]
     assert small_s > START_JITTER_S > max(middle_s, large_s)
+
+
+def test_a_report_that_waits_for_a_state_is_answered_at_once():
+    """Guards against waits of half a second for requests to cold owners."""
+
+    async def scenario():
+        demand, times, cold = [], [], ColdTargets("v", None, None, MemoryDecisionLog())
+
+        async def wait_for_change(timeout_s):
+            await asyncio.sleep(timeout_s)
+
+        server = FleetServer(
+            lambda report: bool(demand),
+            lambda vm, sent: pb.FleetState(leading=True),
+            lambda: pb.FleetAnswer(),
+            wait_for_change,
+            lambda vm, instance: None,
+        )
+        (port,) = free_ports(1)
+        address = f"127.0.0.1:{port}"
+        async with serve_fleet(server, address):
+            following = asyncio.create_task(
+                follow_placer(
+                    address,
+                    lambda: pb.FleetReport(vm="v"),
+                    lambda state: times.append(monotonic()),
+                    cold.wait_for_report,
+                )
+            )
+            await asyncio.sleep(0.6)
+            calm = len(times)
+            for _ in range(5):
+                demand.append(1)
+                cold.request_report()
+                await asyncio.sleep(0.12)
+            following.cancel()
+        assert calm <= 4
+        assert len(times) - calm >= 4
+
+    asyncio.run(scenario())
--- a/packages/scheduling/peridot_scheduling/cold_starts.py
+++ b/packages/scheduling/peridot_scheduling/cold_starts.py
@@ -22,10 +22,15 @@
 # A place of a sender is filled again after this time (s), when the assignment of the
 # former sender has lapsed also if it was cut off.
 REASSIGNMENT_DELAY_S = 2.5
-# A permit for one request lapses after this time (s).
-PERMIT_S = 0.3
+# A permit for one request lapses after this time (s). Requests wait for it, so that it
+# is used at once or not at all.
+PERMIT_S = 0.1
+# Permits that are issued at once at most.
+MAX_PERMIT_BURST = 4.0
 # States of the placer arrive later than others by up to this time (s).
 PERMIT_JITTER_S = 0.1
+# Permits issued within this time (s) may be used within one second.
+USABLE_S = 1.0 + PERMIT_S + PERMIT_JITTER_S
 # No permits are issued for this time (s) after a target turned cold: requests of the
 # last second count against the limit too.
 QUIET_S = 1.0
@@ -78,8 +83,13 @@
 
         Permits of more than a second may be used in one.
         """
-        usable_s = 1.0 + PERMIT_S + PERMIT_JITTER_S
-        return max(0.0, min(self.rate, (self.view_limit - BURST) / usable_s))
+        return max(0.0, min(self.rate, (self.view_limit - BURST) / USABLE_S))
+
+    @property
+    def permit_burst(self) -> float:
+        """Return how many permits are issued at once, with what the rate leaves."""
+        left = self.view_limit - self.permit_rate * USABLE_S
+        return min(MAX_PERMIT_BURST, max(BURST, left))
 
 
 def find_limits(
@@ -111,12 +121,13 @@
 
     rate: float
     updated_at: float
+    burst: float = BURST
     tokens: float = 0.0
 
     def has(self, now: float) -> bool:
         """Return whether a request may be sent."""
         passed_s = max(0.0, now - self.updated_at)
-        self.tokens = min(BURST, self.tokens + passed_s * self.rate)
+        self.tokens = min(self.burst, self.tokens + passed_s * self.rate)
         self.updated_at = max(now, self.updated_at)
         return self.tokens >= 1.0 - 1e-9
 
@@ -330,7 +341,9 @@
     def _get(self, target: str, limits: ColdLimits, now: float) -> _TargetShares:
         shares = self.targets.get(target)
         if shares is None:
-            permits = TokenBucket(limits.permit_rate, now + QUIET_S)
+            permits = TokenBucket(
+                limits.permit_rate, now + QUIET_S, limits.permit_burst
+            )
             shares = self.targets[target] = _TargetShares(permits)
         return shares
 
