Look up cold targets once for all members, and begin the ramp slowly

Cause: each state looked at all cold targets and VMs; waiting requests and returning callers made the ramp a jump (54 requests a second after half a second, 30 are usual). Change: a look-up ten times a second; the share grows by the square of the time.

--- a/packages/gateway/peridot_gateway/coldtargets.py
+++ b/packages/gateway/peridot_gateway/coldtargets.py
@@ -34,6 +34,10 @@
 MAX_COLD_FACTOR = 2.0
 # Failures to reach a target of as many VMs are no fault of one VM's network.
 MIN_REPORTERS = 2
+# The placer looks up cold targets and senders once in this time (s) for all members.
+REFRESH_PERIOD_S = 0.1
+# Without a placer the list of VMs doesn't change; the check takes a hash for each.
+ALONE_CHECK_PERIOD_S = 1.0
 UNREACHED_REASONS = frozenset((Reason.CONNECTION_REFUSED, Reason.TARGET_LOST))
 
 
@@ -79,11 +83,18 @@
         self.entries: dict[str, TargetInstance] = {}
         self.logged: set[str] = set()
         self.refused = 0
+        # When (s) it was checked if this VM sends without a placer, and the result.
+        self.alone: dict[str, tuple[float, bool]] = {}
         # Used while this VM is the placer.
         self.term = 0
         self.leading_since = float("inf")
         self.members: dict[str, _Member] = {}
         self.allotment = Allotment()
+        # When cold targets were looked up last (s), their services, and the shares of
+        # senders by VM and target (permille).
+        self.refreshed_at = float("-inf")
+        self.cold_services: set[str] = set()
+        self.sender_shares: dict[str, dict[str, int]] = {}
         # VMs that found targets unreachable and may find them cold, by target, and when
         # they said so (s); and the targets that count as cold because of them.
         self.reporters: dict[str, dict[str, float]] = {}
@@ -182,6 +193,7 @@
             if not self.times.left_s(name, now):
                 self.logged.remove(name)
                 self.allowances.pop(name, None)
+                self.alone.pop(name, None)
                 self.log.write("target_warm", target=name)
         names = self.targets.targets.keys()
         self.times.remove_all_except(names)
@@ -265,7 +277,11 @@
         """Assign a small rate to one VM of those that have lost the placer."""
         if now < self.state_at + ASSIGNMENT_S:
             return
-        if is_sender_alone(target.name, self.vm, self.get_known_vms()):
+        checked_at, is_sender = self.alone.get(target.name, (float("-inf"), False))
+        if now >= checked_at + ALONE_CHECK_PERIOD_S:
+            is_sender = is_sender_alone(target.name, self.vm, self.get_known_vms())
+            self.alone[target.name] = now, is_sender
+        if is_sender:
             allowance = self.allowances.setdefault(target.name, Allowance())
             rate = min(limits.rate * ALONE_SHARE, limits.sender_rate)
             allowance.assign(rate, now, alone=True)
@@ -283,7 +299,7 @@
         member = self.members.setdefault(report.vm, _Member(report.data_centre, now))
         member.zone, member.reported_at = report.data_centre, now
         for item in report.keys:
-            if self._has_cold_owners(item.service):
+            if item.service in self.cold_services:
                 counts = dict(zip(item.keys, item.counts, strict=True))
                 member.keys.setdefault(item.service, Counter()).update(counts)
         for item in report.targets:
@@ -308,7 +324,32 @@
         now = self.clock()
         if term != self.term:
             self.term, self.leading_since = term, now
-            self.allotment = Allotment()
+            self.allotment, self.refreshed_at = Allotment(), float("-inf")
+        if now >= self.refreshed_at + REFRESH_PERIOD_S:
+            self._refresh(now)
+        shares = dict(self.sender_shares.get(vm, {}))
+        if vm in self.members and now >= self.leading_since + TERM_DELAY_S:
+            self._add_demand(vm, self.members[vm], tables, now)
+            for name in self.allotment.waiting_at(vm, now):
+                # All requests of the receiver for now, which are one at most.
+                shares[name] = 1000 * self.allotment.issue_permit(name, vm, now)
+        # Members can't know by themselves how long these are cold.
+        left_ms = {
+            name: int(self.times.left_s(name, now) * 1000) + 1 for name in self.reported
+        }
+        return [
+            pb.ColdTarget(
+                target=name,
+                left_ms=left_ms.get(name, 0),
+                admit_permille=shares.get(name, 0) + 1,
+            )
+            for name in shares.keys() | left_ms.keys()
+            if shares.get(name) or name in left_ms
+        ]
+
+    def _refresh(self, now: float) -> None:
+        """Update which targets are cold and who their senders are."""
+        self.refreshed_at = now
         cold = {
             name: self.targets.targets[name]
             for name in self.logged
@@ -316,60 +357,34 @@
         }
         self.allotment.remove_all_except(cold)
         self.reported &= cold.keys()
-        self._add_demand(vm, cold, tables, now)
-        zones = self._live_zones(now)
-        return [
-            pb.ColdTarget(target=name, left_ms=left_ms, admit_permille=share + 1)
-            for name, target in cold.items()
-            for share, left_ms in [self._find_share(vm, target, zones, now)]
-            if share or left_ms
-        ]
-
-    def _find_share(
-        self, vm: str, target: TargetInstance, zones: Mapping[str, str], now: float
-    ) -> tuple[int, int]:
-        """Return a VM's share (permille) and the time that it can't know (ms)."""
-        left_ms = 0
-        if target.name in self.reported:
-            left_ms = int(self.times.left_s(target.name, now) * 1000) + 1
-        limits = self.find_limits(target.service)
-        if limits is None or now < self.leading_since + TERM_DELAY_S:
-            return 0, left_ms
-        if self._find_service(target.service).divided_by_key:
-            # All requests of the receiver for now, which are one at most.
-            return 1000 * self.allotment.issue_permit(target.name, vm, now), left_ms
-        senders = self.allotment.update_senders(
-            target.name, target.data_centre, zones, limits, now
-        )
-        share = int(1000 * limits.sender_rate / limits.rate) if vm in senders else 0
-        return share, left_ms
+        self.cold_services = {target.service for target in cold.values()}
+        self.sender_shares = {}
+        zones = self._live_zones(now) if cold else {}
+        for name, target in cold.items():
+            limits = self.find_limits(target.service)
+            if limits is None:
+                continue
+            self.allotment.add_target(name, limits, self.times.get(name).since)
+            divided = self._find_service(target.service).divided_by_key
+            if divided or now < self.leading_since + TERM_DELAY_S:
+                continue
+            share = int(1000 * limits.sender_rate / limits.rate)
+            for vm in self.allotment.update_senders(
+                name, target.data_centre, zones, limits, now
+            ):
+                self.sender_shares.setdefault(vm, {})[name] = share
 
     def _add_demand(
-        self,
-        vm: str,
-        cold: Mapping[str, TargetInstance],
-        tables: Mapping[str, RangeTable],
-        now: float,
+        self, vm: str, member: _Member, tables: Mapping[str, RangeTable], now: float
     ) -> None:
-        member = self.members.get(vm)
-        if member is None:
-            return
         for service, counts in member.keys.items():
-            limits, table = self.find_limits(service), tables.get(service)
-            if limits is None or table is None:
+            table = tables.get(service)
+            if table is None:
                 continue
             for key, count in counts.items():
-                owner = table.find(key).owner
-                if owner in cold:
-                    self.allotment.add_demand(owner, vm, count, limits, now)
+                self.allotment.add_demand(table.find(key).owner, vm, count, now)
         member.keys.clear()
 
-    def _has_cold_owners(self, service: str) -> bool:
-        targets = self.targets.targets
-        return any(
-            name in targets and targets[name].service == service for name in self.logged
-        )
-
     def _live_zones(self, now: float) -> dict[str, str]:
         oldest = now - MEMBER_FRESH_S
         return {
--- a/packages/scheduling/peridot_scheduling/cold_starts.py
+++ b/packages/scheduling/peridot_scheduling/cold_starts.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from heapq import nsmallest
 from math import inf, isfinite
 
 from xxhash import xxh64_intdigest
@@ -103,16 +104,22 @@
     return ColdLimits(rate, rate * factor + slack)
 
 
-def rank_senders(target: str, zone: str, vms: Mapping[str, str]) -> list[str]:
-    """Return VMs (names and zones) in the order in which they send to a target.
+def choose_senders(
+    target: str, zone: str, vms: Mapping[str, str], count: int
+) -> list[str]:
+    """Return a number of VMs (of names and zones) that send to a target.
 
     Those in its zone come first, so that it stays reachable if the zone is cut off.
     """
 
-    def rank(vm: str) -> tuple[bool, int, str]:
-        return vms[vm] != zone, xxh64_intdigest(f"{vm}\0{target}".encode()), vm
+    def rank(vm: str) -> tuple[int, str]:
+        return xxh64_intdigest(f"{vm}\0{target}".encode()), vm
 
-    return sorted(vms, key=rank)
+    chosen = nsmallest(count, (vm for vm in vms if vms[vm] == zone), key=rank)
+    if len(chosen) < count:
+        others = (vm for vm in vms if vms[vm] != zone)
+        chosen += nsmallest(count - len(chosen), others, key=rank)
+    return chosen
 
 
 @dataclass
@@ -191,7 +198,9 @@
         item = self.targets.get(target)
         if item is None:
             return 1.0
-        return min(1.0, max(0.0, (now - item.until) / RAMP_S))
+        # It rises slowly at first: requests that waited and callers that were refused
+        # come on top.
+        return min(1.0, max(0.0, (now - item.until) / RAMP_S)) ** 2
 
     def record_failure(self, target: str, now: float) -> None:
         """Record that a target refused connections or was silent."""
@@ -271,8 +280,7 @@
 
 def is_sender_alone(target: str, vm: str, known_vms: Iterable[str]) -> bool:
     """Return whether a VM without a placer is the one that sends to a target."""
-    ranked = rank_senders(target, "", dict.fromkeys(known_vms, ""))
-    return bool(ranked) and ranked[0] == vm
+    return choose_senders(target, "", dict.fromkeys(known_vms, ""), 1) == [vm]
 
 
 @dataclass
@@ -283,8 +291,6 @@
     # Senders, and when the places of former ones may be filled again.
     senders: list[str] = field(default_factory=list)
     free_from: list[float] = field(default_factory=list)
-    # Requests that wait at VMs, and when they were reported.
-    demand: dict[str, tuple[int, float]] = field(default_factory=dict)
 
 
 @dataclass
@@ -292,6 +298,16 @@
     """The placer's shares of the allowances of cold targets."""
 
     targets: dict[str, _TargetShares] = field(default_factory=dict)
+    # Requests that wait by VM and target, and when they were reported.
+    demand: dict[str, dict[str, tuple[int, float]]] = field(default_factory=dict)
+
+    def add_target(self, target: str, limits: ColdLimits, since: float) -> None:
+        """Add a target that has been cold since a time."""
+        if target not in self.targets:
+            permits = TokenBucket(
+                limits.permit_rate, since + QUIET_S, limits.permit_burst
+            )
+            self.targets[target] = _TargetShares(permits)
 
     def update_senders(
         self,
@@ -302,7 +318,7 @@
         now: float,
     ) -> list[str]:
         """Return the senders of a target; present ones stay while they live."""
-        shares = self._get(target, limits, now)
+        shares = self.targets[target]
         count = limits.sender_count
         kept = [vm for vm in shares.senders if vm in vms][:count]
         lost = len(shares.senders) - len(kept)
@@ -310,27 +326,32 @@
         pending += [now + REASSIGNMENT_DELAY_S] * lost
         free = max(0, count - len(kept) - len(pending))
         if free:
-            ranked = rank_senders(target, zone, vms)
-            kept += [vm for vm in ranked if vm not in kept][:free]
+            others = {vm: vms[vm] for vm in vms if vm not in kept}
+            kept += choose_senders(target, zone, others, free)
         shares.senders, shares.free_from = kept, pending
         return shares.senders
 
-    def add_demand(
-        self, target: str, vm: str, count: int, limits: ColdLimits, now: float
-    ) -> None:
-        """Add requests that wait at a VM."""
-        demand = self._get(target, limits, now).demand
-        demand[vm] = (self._waiting(demand, vm, now) + count, now)
+    def add_demand(self, target: str | None, vm: str, count: int, now: float) -> None:
+        """Add requests that wait at a VM, if the target is cold."""
+        if target in self.targets:
+            waiting = count + self._waiting(target, vm, now)
+            self.demand.setdefault(vm, {})[target] = waiting, now
+
+    def waiting_at(self, vm: str, now: float) -> list[str]:
+        """Return the targets for which requests wait at a VM."""
+        demand = self.demand.get(vm, {})
+        for target in list(demand):
+            if not self._waiting(target, vm, now):
+                del demand[target]
+        return list(demand)
 
     def issue_permit(self, target: str, vm: str, now: float) -> bool:
         """Return whether a VM may send one of the requests that wait there."""
         shares = self.targets.get(target)
-        if shares is None:
-            return False
-        waiting = self._waiting(shares.demand, vm, now)
-        if not waiting or not shares.permits.take(now):
+        waiting = self._waiting(target, vm, now)
+        if shares is None or not waiting or not shares.permits.take(now):
             return False
-        shares.demand[vm] = (waiting - 1, shares.demand[vm][1])
+        self.demand[vm][target] = waiting - 1, self.demand[vm][target][1]
         return True
 
     def remove_all_except(self, names: Iterable[str]) -> None:
@@ -338,17 +359,6 @@
         for name in self.targets.keys() - set(names):
             del self.targets[name]
 
-    def _get(self, target: str, limits: ColdLimits, now: float) -> _TargetShares:
-        shares = self.targets.get(target)
-        if shares is None:
-            permits = TokenBucket(
-                limits.permit_rate, now + QUIET_S, limits.permit_burst
-            )
-            shares = self.targets[target] = _TargetShares(permits)
-        return shares
-
-    def _waiting(
-        self, demand: Mapping[str, tuple[int, float]], vm: str, now: float
-    ) -> int:
-        count, reported_at = demand.get(vm, (0, -inf))
+    def _waiting(self, target: str, vm: str, now: float) -> int:
+        count, reported_at = self.demand.get(vm, {}).get(target, (0, -inf))
         return count if now < reported_at + DEMAND_S else 0
