--- a/packages/gateway/peridot_gateway/coldtargets.py
+++ b/packages/gateway/peridot_gateway/coldtargets.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
+from math import isfinite
 from time import monotonic
 
 from peridot_gateway.sources import ConfigurationSource
@@ -102,6 +103,9 @@
 
     def set_limits(self, rate_factor: float | None, rate_slack: float) -> None:
         """Set the limits of the settings."""
+        if not all(isfinite(v) and v >= 0 for v in (rate_factor or 0.0, rate_slack)):
+            # find_limits replaces what is invalid.
+            self.log.write("cold_limit_invalid", factor=rate_factor, slack=rate_slack)
         self.rate_factor, self.rate_slack = rate_factor, rate_slack
 
     def find_limits(self, service: str) -> ColdLimits | None:
