--- a/packages/gateway/peridot_gateway/daemon.py
+++ b/packages/gateway/peridot_gateway/daemon.py
@@ -17,8 +17,10 @@
 from peridot_daemon.metrics import Metrics
 from peridot_daemon.settings import split_address
 from peridot_gateway.admission import Admission
+from peridot_gateway.coldtargets import ColdTargets
 from peridot_gateway.dialect import Dialect
 from peridot_gateway.estimates import Estimates
+from peridot_gateway.evacuations import Evacuations
 from peridot_gateway.fleet import Fleet, FleetParts
 from peridot_gateway.fleetload import FleetLoad
 from peridot_gateway.ingress import Ingress
@@ -48,6 +50,8 @@
 SWEEP_PERIOD_S = 5.0
 # The settings file may change without a SIGHUP.
 SETTINGS_CHECK_PERIOD_S = 1.0
+# Targets turn cold or warm within this time for the logs and the placer.
+COLD_UPDATE_PERIOD_S = 0.25
 
 
 @dataclass(frozen=True)
@@ -81,6 +85,9 @@
         await self._listen()
         self._start_task("configuration", self.configuration.run)
         self._start_task("targets", self.targets.run)
+        if self.evacuations is not None:
+            self._start_task("evacuations", self.evacuations.run)
+        self._start_task("cold", self._update_cold_targets)
         self._start_task("fleet", self.fleet.run)
         self._start_task("log", self.flush_log)
         self._start_task("sweep", self._sweep_connections)
@@ -105,6 +112,13 @@
         )
         self.configuration = ConfigurationSource(store, dialect, log)
         self.targets = TargetSource(store, dialect, log)
+        self.cold = ColdTargets(settings.vm, self.configuration, self.targets, log)
+        self.cold.set_limits(settings.cold_rate_factor, settings.cold_rate_slack)
+        self.cold.get_known_vms = lambda: self.fleet.known_vms()
+        self.evacuations = None
+        if settings.evacuate_s is not None:
+            self.evacuations = Evacuations(store, dialect, log, settings.evacuate_s)
+            self.evacuations.handle_end = self.cold.record_zone_return
         self._set_recovery_times()
         self.estimates = Estimates()
         self.owners = Owners()
@@ -120,11 +134,19 @@
             self.owners,
             self.targets,
             self.estimates,
-            Picker(settings.data_centre, self.estimates, rng),
+            Picker(
+                settings.data_centre,
+                self.estimates,
+                rng,
+                self.cold,
+                self.evacuations,
+            ),
             Admission(self.estimates, self.sharing),
             self.sender,
             log,
             rng,
+            self.cold,
+            self.evacuations,
         )
         self.router = GatewayRouter(
             parts,
@@ -132,7 +154,12 @@
             lambda: self.fleet.count_vms(),
             settings.leaving_grace_s,
         )
-        self.load = FleetLoad(self.configuration, self.targets)
+        self.load = FleetLoad(
+            self.configuration,
+            self.targets,
+            cold=self.cold,
+            evacuations=self.evacuations,
+        )
         self.load.shares.log = log
         self.fleet = Fleet(
             self.local_instance,
@@ -172,6 +199,8 @@
     def _set_recovery_times(self) -> None:
         self.configuration.set_recovery_time(self.settings.settle_s)
         self.targets.set_recovery_time(self.settings.target_recovery_s)
+        if self.evacuations is not None:
+            self.evacuations.set_recovery_time(self.settings.target_recovery_s)
 
     def _confirmed_version(self, index: int) -> int | None:
         versions = self.fleet.confirmed_versions()
@@ -231,6 +260,9 @@
         self.settings = settings
         self._apply_memory_limits()
         self.router.set_retry_limits(settings.repeats)
+        self.cold.set_limits(settings.cold_rate_factor, settings.cold_rate_slack)
+        if self.evacuations is not None and settings.evacuate_s is not None:
+            self.evacuations.evacuate_s = settings.evacuate_s
         self._set_recovery_times()
         self.router.leaving_grace_s = settings.leaving_grace_s
         self.fleet.parts.hold_max_s = settings.hold_max_s
@@ -264,6 +296,12 @@
         body = generate_latest(self.metrics.registry)
         return web.Response(body=body, headers={"Content-Type": CONTENT_TYPE_LATEST})
 
+    async def _update_cold_targets(self) -> None:
+        """Follow which targets are cold periodically."""
+        while True:
+            self.cold.update()
+            await asyncio.sleep(COLD_UPDATE_PERIOD_S)
+
     async def _sweep_connections(self) -> None:
         """Close the connections of removed targets periodically."""
         while True:
@@ -321,6 +359,21 @@
             "Targets that said in responses, not in the store, that they leave.",
             lambda: len(self.targets.announced_leaving),
         )
+        gauges.add(
+            "targets_cold",
+            "Targets that bear a limited rate of requests for now.",
+            self.cold.count_cold,
+        )
+        gauges.add(
+            "cold_refusals",
+            "Requests refused because the owner of their key is cold.",
+            lambda: self.cold.refused,
+        )
+        gauges.add(
+            "zones_evacuated",
+            "Zones whose targets get no requests.",
+            lambda: len(self.evacuations.zones) if self.evacuations else 0,
+        )
         gauges.add(
             "store_era",
             "Restores of the store from a copy, as known here.",
@@ -374,7 +427,8 @@
             "Stored objects that couldn't be read or parsed.",
             labels=("kind",),
         )
-        for source in (self.configuration, self.targets):
+        watched = (self.configuration, self.targets, self.evacuations)
+        for source in filter(None, watched):
             family.add_metric((source.kind,), source.invalid_objects)
         family.add_metric((RECORD_KIND,), self.fleet.invalid_records)
         return family
--- a/packages/gateway/peridot_gateway/fleet.py
+++ b/packages/gateway/peridot_gateway/fleet.py
@@ -96,6 +96,8 @@
             parts.load.targets,
             StoreProbe(parts.store),
             parts.log,
+            parts.load.cold,
+            parts.load.evacuations,
         )
         self.follower.handle_routes = parts.sharing.set_shares
         self.leader = LeaderRole(
@@ -135,6 +137,10 @@
         """Return the number of VMs that share a budget."""
         return self.follower.peers.count()
 
+    def known_vms(self) -> list[str]:
+        """Return the names of the VMs that were listed last."""
+        return [peer.vm for peer in self.follower.peers.instances]
+
     def is_connected(self) -> bool:
         """Return whether this VM is the placer or is connected to it."""
         return self.placer is not None or self.follower.is_connected()
@@ -368,6 +374,12 @@
     def _report_locally(self) -> None:
         self.parts.load.record_report(self.build_report())
         load = self.parts.load
+        placer = self.placer
+        if load.cold is not None and placer is not None:
+            record, vm = placer.record, self.local_instance.vm
+            load.cold.apply_state(
+                load.cold.build_shares(vm, record.term, record.tables)
+            )
         own = load.in_flight.get(self.local_instance.vm, {})
         self.parts.estimates.set_in_flight(load.in_flight_totals(), own)
         self.parts.sharing.apply(load.shares.compute(load.clock()))
@@ -403,6 +415,9 @@
                 )
                 item.finished = item.failed = item.busy_count = 0
                 item.busy_ms = 0.0
+        cold = self.parts.load.cold
+        if cold is not None:
+            report.targets.extend(cold.build_reports())
         return report
 
     def _is_store_reachable(self) -> bool:
--- a/packages/gateway/peridot_gateway/following.py
+++ b/packages/gateway/peridot_gateway/following.py
@@ -1,9 +1,12 @@
 """FollowerRole: this VM's link to the placer and what it knows of a lost one."""
 
+import asyncio
 from collections.abc import Callable, Iterable
 from time import monotonic
 
+from peridot_gateway.coldtargets import ColdTargets
 from peridot_gateway.estimates import Estimates
+from peridot_gateway.evacuations import Evacuations
 from peridot_gateway.links import HEARTBEAT_TIMEOUT_S, LinkEndReason, follow_placer
 from peridot_gateway.messages import (
     parse_entry,
@@ -37,6 +40,8 @@
         targets: TargetSource,
         probe: StoreProbe,
         log: DecisionLog,
+        cold: ColdTargets | None = None,
+        evacuations: Evacuations | None = None,
     ) -> None:
         self.local_instance = local_instance
         self.owners = owners
@@ -44,6 +49,8 @@
         self.targets = targets
         self.probe = probe
         self.log = log
+        self.cold = cold
+        self.evacuations = evacuations
         self.peers = Peers()
         self.last_state_at = float("-inf")
         self.followed_placer: DaemonInstance | None = None
@@ -82,10 +89,15 @@
         """Report to a placer and apply its states until the link ends."""
         self.followed_placer = holder
         end_reason = await follow_placer(
-            holder.address, build_report, self.handle_state
+            holder.address,
+            build_report,
+            self.handle_state,
+            self.cold.wait_for_report if self.cold is not None else asyncio.sleep,
         )
         self.last_state_at = float("-inf")
         self.targets.end_push()
+        if self.evacuations is not None:
+            self.evacuations.end_push()
         self.log.write("placer_lost", placer=holder.vm, reason=end_reason)
         return end_reason
 
@@ -121,6 +133,14 @@
         else:
             self.peers.update(self.peers.instances)
         self._apply_target_entries(state)
+        if self.evacuations is not None:
+            self.evacuations.apply_pushed(
+                state.evacuations_listed,
+                state.evacuated_zones,
+                state.evacuations_version,
+            )
+        if self.cold is not None:
+            self.cold.apply_state(state.cold_targets)
         if state.routes:
             self.handle_routes(state.routes)
         if state.in_flight_names:
--- a/packages/gateway/tests/test_sharing.py
+++ b/packages/gateway/tests/test_sharing.py
@@ -247,7 +247,10 @@
 ):
     """Guards against fields that the link between VM and placer leaves out."""
     sharing = make_sharing(0, -1)
-    load, estimates = SimpleNamespace(targets=FakeTargets()), Estimates()
+    load, estimates = (
+        SimpleNamespace(targets=FakeTargets(), cold=None, evacuations=None),
+        Estimates(),
+    )
     parts = FleetParts(
         MemoryObjectStore(),
         MemoryLeaseClient(),
