Choose targets by expected work and speed

Cause: one moving average of the processing time per target covers all routes, so that a target that got costly requests looks slow, and requests count alike in its backlog. Change: peridot_scheduling learns costs by route and speeds by target; estimates hold the work in flight; the picker, admission and silence timeouts use the request's own cost. Reports and states carry the figures, and the placer's plan weighs keys by work. Tests: packages/gateway/tests, all pass but test_a_placer_keeps_the_term_if_the_store_comes_back_for_all, which fails in 3 of 3 runs without this change too.

--- a/packages/gateway/peridot_gateway/admission.py
+++ b/packages/gateway/peridot_gateway/admission.py
@@ -1,7 +1,6 @@
 """Admission of the gateway: refuse requests that a target can't finish in time."""
 
 from dataclasses import dataclass
-from time import monotonic
 
 from peridot_gateway.estimates import Estimates
 from peridot_gateway.requests import GatewayRequest
@@ -23,15 +22,15 @@
 
     def check(self, request: GatewayRequest, target: TargetInstance) -> NotRun | None:
         """Return a refusal if a target won't finish a request in time, else None."""
-        now = monotonic()
+        now = self.estimates.clock()
         estimate = self.estimates.get(target.name)
+        cost_s = self.estimates.cost_s(request.service.name, request.route)
+        processing_s = estimate.expected_processing_s(cost_s, now)
         if estimate.is_full(target.slots, now):
-            retry_ms = int(1000 * max(MIN_RETRY_AFTER_S, estimate.processing_s))
+            retry_ms = int(1000 * max(MIN_RETRY_AFTER_S, processing_s))
             return NotRun(Reason.OVERLOADED, retry_ms, "full")
         wait_s = estimate.expected_wait_s(target.slots, now)
-        missing_s = (
-            wait_s + PROCESSING_SHARE * estimate.processing_s - request.remaining_s()
-        )
+        missing_s = wait_s + PROCESSING_SHARE * processing_s - request.remaining_s()
         if wait_s <= 0 or missing_s <= 0:
             return None
         retry_ms = int(1000 * max(MIN_RETRY_AFTER_S, missing_s))
--- a/packages/gateway/peridot_gateway/daemon.py
+++ b/packages/gateway/peridot_gateway/daemon.py
@@ -20,6 +20,7 @@
 from peridot_gateway.estimates import Estimates
 from peridot_gateway.fleet import Fleet, FleetParts
 from peridot_gateway.fleetload import FleetLoad
+from peridot_gateway.fleetwork import add_work_gauges
 from peridot_gateway.ingress import Ingress
 from peridot_gateway.links import serve_fleet
 from peridot_gateway.owners import Owners
@@ -127,6 +128,7 @@
             settings.leaving_grace_s,
         )
         self.load = FleetLoad(self.configuration, self.targets)
+        self.load.work.log = log
         self.fleet = Fleet(
             self.local_instance,
             settings.data_centre,
@@ -299,6 +301,9 @@
             "Targets that want no requests from this VM for now.",
             self.estimates.count_paused,
         )
+        add_work_gauges(
+            gauges, self.estimates, self.load.work, self.router.parts.picker
+        )
         gauges.add(
             "targets_announced_leaving",
             "Targets that said in responses, not in the store, that they leave.",
--- a/packages/gateway/peridot_gateway/fleet.py
+++ b/packages/gateway/peridot_gateway/fleet.py
@@ -7,6 +7,7 @@
 
 from peridot_gateway.estimates import Estimates
 from peridot_gateway.fleetload import FleetLoad
+from peridot_gateway.fleetwork import add_work_report
 from peridot_gateway.following import FollowerRole
 from peridot_gateway.leading import LeaderRole
 from peridot_gateway.links import FleetServer, LinkEndReason, ask_member
@@ -361,6 +362,7 @@
         load = self.parts.load
         own = load.in_flight.get(self.local_instance.vm, {})
         self.parts.estimates.set_in_flight(load.in_flight_totals(), own)
+        load.share_work(self.parts.estimates)
         self.follower.peers.update(
             [self.local_instance, *self.leader.roster.instances()]
         )
@@ -374,7 +376,9 @@
             peer_address=self.local_instance.address,
             cores=self.local_instance.cores,
             accepts_patches=True,
-            keys=serialize_keys(self.parts.router.pop_key_counts()),
+            keys=serialize_keys(
+                self.parts.router.pop_key_counts(), self.parts.estimates.pop_key_work()
+            ),
             store_reachable=self._is_store_reachable(),
             leaving=self.leaving,
         )
@@ -392,6 +396,7 @@
                 )
                 item.finished = item.failed = item.busy_count = 0
                 item.busy_ms = 0.0
+        add_work_report(report, self.parts.estimates)
         return report
 
     def _is_store_reachable(self) -> bool:
--- a/packages/gateway/peridot_gateway/fleetload.py
+++ b/packages/gateway/peridot_gateway/fleetload.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from peridot_gateway.estimates import Estimates
+from peridot_gateway.fleetwork import FleetWork
 from peridot_gateway.sources import ConfigurationSource
 from peridot_gateway.targets import TargetSource
 from peridot_ownership.loads import KeyLoads
@@ -26,6 +28,7 @@
     processing_times: dict[str, float] = field(default_factory=dict)
     # Requests in flight by VM and target.
     in_flight: dict[str, dict[str, int]] = field(default_factory=dict)
+    work: FleetWork = field(default_factory=FleetWork)
     clock: Callable[[], float] = boot_time
 
     def divided_services(self) -> list[str]:
@@ -45,19 +48,24 @@
         return self.keys.setdefault(service, KeyLoads())
 
     def processing_s(self, target: str) -> float | None:
-        return self.processing_times.get(target)
+        instance = self.targets.targets.get(target)
+        service = instance.service if instance is not None else ""
+        processing_s = self.work.processing_s(service, target, self.clock())
+        return processing_s or self.processing_times.get(target)
 
     def record_report(self, report: pb.FleetReport) -> None:
         """Record one VM's report."""
         now = self.clock()
         for counts in report.keys:
-            pairs = zip(counts.keys, counts.counts, strict=True)
+            weights = self.work.weigh_keys(counts, report.vm, now)
+            pairs = zip(counts.keys, weights, strict=True)
             self.loads_of(counts.service).add(pairs, now)
         for item in report.targets:
             if item.busy_count:
                 self._record_processing_time(item)
             if item.leaving:
                 self.targets.announce_leaving(item.target, item.started_ms)
+        self.work.record_report(report, now)
         self.in_flight[report.vm] = {
             item.target: item.in_flight for item in report.targets if item.in_flight
         }
@@ -71,6 +79,22 @@
     def remove_vm(self, vm: str) -> None:
         """Drop the requests in flight of a VM that left."""
         self.in_flight.pop(vm, None)
+        self.work.remove_vm(vm)
+
+    def share_work(self, estimates: Estimates) -> None:
+        """Hand the fleet's work figures to the estimates of the placer's own VM."""
+        now = self.clock()
+        services = self.targets.by_service.items()
+        self.work.centre(
+            ((name, [item.name for item in items]) for name, items in services), now
+        )
+        names = list(self.targets.targets)
+        speeds = ((name, self.work.speeds.current(name, now)) for name in names)
+        estimates.set_shared(
+            self.work.totals_s(),
+            {name: speed for name, speed in speeds if speed is not None},
+            {(s, r): cost_s for s, r, cost_s in self.work.learned_costs(now)},
+        )
 
     def in_flight_totals(self) -> Counter[str]:
         """Return the requests in flight from all VMs by target."""
--- a/packages/gateway/peridot_gateway/following.py
+++ b/packages/gateway/peridot_gateway/following.py
@@ -4,6 +4,7 @@
 from time import monotonic
 
 from peridot_gateway.estimates import Estimates
+from peridot_gateway.fleetwork import apply_work_state
 from peridot_gateway.links import HEARTBEAT_TIMEOUT_S, LinkEndReason, follow_placer
 from peridot_gateway.messages import (
     parse_entry,
@@ -127,6 +128,12 @@
             indexes, counts = state.own_in_flight_indexes, state.own_in_flight_counts
             own = {names[i]: count for i, count in zip(indexes, counts, strict=True)}
             self.estimates.set_in_flight(totals, own)
+            self._apply_work(state)
+
+    def _apply_work(self, state: pb.FleetState) -> None:
+        dropped = apply_work_state(self.estimates, self.in_flight_names, state)
+        if dropped:
+            self.log.write("figure_dropped", figure="state", dropped=dropped)
 
     def _apply_target_entries(self, state: pb.FleetState) -> None:
         """Apply the changes of targets that the placer pushed, if there are any."""
--- a/packages/gateway/peridot_gateway/messages.py
+++ b/packages/gateway/peridot_gateway/messages.py
@@ -142,9 +142,24 @@
     return StoredObject(kind, message.name, message.version, message.value)
 
 
-def serialize_keys(counts: Mapping[str, Counter[int]]) -> list[pb.KeyCounts]:
-    """Return the messages of request counts by key."""
+def serialize_keys(
+    counts: Mapping[str, Counter[int]],
+    work_s: Mapping[str, Mapping[int, float]] | None = None,
+) -> list[pb.KeyCounts]:
+    """Return the messages of request counts by key, with their work (s) if known."""
     return [
-        pb.KeyCounts(service=service, keys=by_key.keys(), counts=by_key.values())
+        pb.KeyCounts(
+            service=service,
+            keys=by_key.keys(),
+            counts=by_key.values(),
+            work_ms=_serialize_key_work(by_key, (work_s or {}).get(service, {})),
+        )
         for service, by_key in counts.items()
     ]
+
+
+def _serialize_key_work(counts: Counter[int], work_s: Mapping[int, float]) -> list[int]:
+    """Return the work (ms) in the order of the counts; empty if some is unknown."""
+    if not counts.keys() <= work_s.keys():
+        return []
+    return [max(1, round(1000 * work_s[key])) for key in counts]
--- a/packages/gateway/peridot_gateway/picker.py
+++ b/packages/gateway/peridot_gateway/picker.py
@@ -3,19 +3,14 @@
 import random
 from collections.abc import Collection
 from dataclasses import dataclass
-from time import monotonic
 
 from peridot_gateway.estimates import Estimates
 from peridot_resources.configuration import TargetInstance
+from peridot_scheduling.selection import Candidate, select
 
 # More candidates find a better target; fewer keep VMs from picking the same one.
 LOCAL_CANDIDATES = 3
 REMOTE_CANDIDATES = 3
-# A target in another data centre must be expected to respond sooner by this factor:
-# traffic between data centres is expensive, and local targets stay reachable if the
-# data centre is cut off. Requests leave it only for a local wait of more than 0.3
-# processing times.
-REMOTE_FACTOR = 1.3
 # A target's cost grows by this factor times its failure rate.
 FAILURE_FACTOR = 8.0
 # A target that has just started takes longer by this factor.
@@ -29,12 +24,22 @@
     data_centre: str
     estimates: Estimates
     rng: random.Random
+    # Requests that were sent to other data centres.
+    remote_count: int = 0
 
     def pick(
-        self, targets: Collection[TargetInstance], tried: Collection[str]
+        self,
+        targets: Collection[TargetInstance],
+        tried: Collection[str],
+        cost_s: float | None = None,
+        objective_left_s: float | None = None,
     ) -> TargetInstance | None:
-        """Return a target that takes requests and wasn't tried, or None."""
-        now = monotonic()
+        """Return a target that takes requests and wasn't tried, or None.
+
+        The request's cost and the time left for its objective are in s, None if they
+        aren't known.
+        """
+        now = self.estimates.clock()
         usable = [
             t
             for t in targets
@@ -52,7 +57,13 @@
         candidates = self._sample(local, LOCAL_CANDIDATES) + self._sample(
             remote, REMOTE_CANDIDATES
         )
-        return min(candidates, key=lambda target: self._cost(target, now))
+        by_name = {target.name: target for target in candidates}
+        selected = select(
+            [self._candidate(target, cost_s, now) for target in candidates],
+            objective_left_s,
+        )
+        self.remote_count += not selected.local
+        return by_name[selected.name]
 
     def shortest_pause_s(
         self, targets: Collection[TargetInstance], tried: Collection[str]
@@ -70,14 +81,18 @@
     ) -> list[TargetInstance]:
         return self.rng.sample(targets, min(count, len(targets)))
 
-    def _cost(self, target: TargetInstance, now: float) -> float:
+    def _candidate(
+        self, target: TargetInstance, cost_s: float | None, now: float
+    ) -> Candidate:
         estimate = self.estimates.get(target.name)
-        cost = estimate.expected_latency_s(target.slots, now)
         # Among idle targets, prefer the one with more free slots.
-        cost *= 1 + 0.1 * estimate.total_in_flight(now) / target.slots
-        cost *= 1 + FAILURE_FACTOR * estimate.current_failure_rate(now)
+        penalty = 1 + 0.1 * estimate.total_in_flight(now) / target.slots
+        penalty *= 1 + FAILURE_FACTOR * estimate.current_failure_rate(now)
         if target.warm_up_left_s > 0 and not estimate.measured:
-            cost *= WARM_UP_FACTOR
-        if target.data_centre != self.data_centre:
-            cost *= REMOTE_FACTOR
-        return cost
+            penalty *= WARM_UP_FACTOR
+        return Candidate(
+            target.name,
+            target.data_centre == self.data_centre,
+            estimate.expected_latency_s(target.slots, now, cost_s),
+            penalty,
+        )
--- a/packages/gateway/peridot_gateway/requests.py
+++ b/packages/gateway/peridot_gateway/requests.py
@@ -54,3 +54,7 @@
     def remaining_s(self) -> float:
         """Return the time remaining until the deadline (s)."""
         return self.deadline - monotonic()
+
+    def objective_left_s(self) -> float:
+        """Return the time remaining for the latency objective (s)."""
+        return self.started_at + self.route.latency_objective_s - monotonic()
--- a/packages/gateway/peridot_gateway/router.py
+++ b/packages/gateway/peridot_gateway/router.py
@@ -148,6 +148,9 @@
         if request.service.divided_by_key and request.key is not None:
             counts = self.key_counts.setdefault(request.service.name, Counter())
             counts[request.key] += 1
+            self.parts.estimates.count_key(
+                request.service.name, request.route, request.key
+            )
 
     def _get_budget(self, service: str) -> RetryBudget:
         budget = self.budgets.get(service)
@@ -163,7 +166,12 @@
         if len(request.tried_targets) >= request.route.max_targets:
             return NotRun(Reason.NO_TARGET, NO_TARGET_RETRY_MS, "all targets tried")
         targets = self.parts.targets.of_service(request.service.name)
-        target = self.parts.picker.pick(targets, request.tried_targets)
+        target = self.parts.picker.pick(
+            targets,
+            request.tried_targets,
+            self.parts.estimates.cost_s(request.service.name, request.route),
+            request.objective_left_s(),
+        )
         if target is not None:
             return target
         pause_s = self.parts.picker.shortest_pause_s(targets, request.tried_targets)
@@ -289,7 +297,10 @@
         if not request.route.idempotent:
             return remaining_s
         estimate = self.parts.estimates.get(target.name)
-        expected_latency_s = estimate.expected_latency_s(target.slots, monotonic())
+        cost_s = self.parts.estimates.cost_s(request.service.name, request.route)
+        expected_latency_s = estimate.expected_latency_s(
+            target.slots, monotonic(), cost_s
+        )
         objective_s = request.route.latency_objective_s
         return min(
             remaining_s, max(expected_latency_s, objective_s) * SILENCE_TIMEOUT_FACTOR
--- a/packages/gateway/peridot_gateway/states.py
+++ b/packages/gateway/peridot_gateway/states.py
@@ -4,6 +4,7 @@
 from time import monotonic
 
 from peridot_gateway.fleetload import FleetLoad
+from peridot_gateway.fleetwork import WorkState, state_period_s
 from peridot_gateway.messages import (
     parse_tables,
     serialize_age,
@@ -38,6 +39,7 @@
     roster_sent_at: float = float("-inf")
     in_flight_sent_at: float = float("-inf")
     in_flight_names: tuple[str, ...] = ()
+    work_sent_at: float = float("-inf")
     # TargetSource.change_count at the last message; None before the first list.
     change_count: int | None = None
 
@@ -61,6 +63,7 @@
     in_flight_at: float = float("-inf")
     in_flight_indexes: dict[str, int] = field(default_factory=dict)
     in_flight_by_vm: dict[str, dict[str, int]] = field(default_factory=dict)
+    work: WorkState = field(default_factory=WorkState)
 
     def build_state(self, placer: Placer, vm: str, sent: SentState) -> pb.FleetState:
         """Return the state for a member, without what it has been sent already."""
@@ -170,6 +173,7 @@
             # The parts that the totals consist of, also after later reports.
             self.in_flight_by_vm = dict(self.load.in_flight)
             self.in_flight_at = now
+            self.work.update(self.load.work, self.in_flight_names, self.load.clock())
         if sent.in_flight_names != self.in_flight_names:
             state.in_flight_names.extend(self.in_flight_names)
             sent.in_flight_names = self.in_flight_names
@@ -178,3 +182,7 @@
             if name in self.in_flight_indexes:
                 state.own_in_flight_indexes.append(self.in_flight_indexes[name])
                 state.own_in_flight_counts.append(count)
+        period_s = state_period_s(len(self.roster.members), IN_FLIGHT_PERIOD_S)
+        if now >= sent.work_sent_at + period_s:
+            self.work.add_to(state)
+            sent.work_sent_at = now
--- a/packages/ownership/peridot_ownership/loads.py
+++ b/packages/ownership/peridot_ownership/loads.py
@@ -76,8 +76,11 @@
     weights: dict[int, float] = field(default_factory=dict)
     reference_time: float | None = None
 
-    def add(self, counts: Iterable[tuple[int, int]], now: float) -> None:
-        """Add the counts of requests by key that arrived about now (s)."""
+    def add(self, counts: Iterable[tuple[int, float]], now: float) -> None:
+        """Add requests by key that arrived about now (s).
+
+        One that is more work than the mean counts as more than one.
+        """
         weight = self._weight_at(now)
         for key, count in counts:
             self.weights[key] = self.weights.get(key, 0.0) + count * weight
