Consider another local target before a request leaves its data centre

Cause: with two local candidates, a calm load of one route sent 0.024 of its requests to other data centres, the earlier rule 0.002. Change: a third local candidate before that, and one remote candidate.

--- a/packages/fakes/peridot_fakes/choicemodel.py
+++ b/packages/fakes/peridot_fakes/choicemodel.py
@@ -123,6 +123,7 @@
     def pick(self, targets, tried, cost_s=None, objective_left_s=None):
         """Pick without the request's cost and objective, from three of each."""
         self.local_candidates = self.remote_candidates = 3
+        self.local_reserve = 0
         return super().pick(targets, tried)
 
     def _candidate(
--- a/packages/gateway/peridot_gateway/picker.py
+++ b/packages/gateway/peridot_gateway/picker.py
@@ -12,7 +12,12 @@
 # two reports. In the simulation of the uneven load, two of each served 0.979 in time,
 # three 0.970, five 0.930.
 LOCAL_CANDIDATES = 2
-REMOTE_CANDIDATES = 2
+# Another local target is considered before a request leaves its data centre. One more
+# halved the traffic between data centres; three more served 0.01 less in time.
+LOCAL_RESERVE = 1
+REMOTE_CANDIDATES = 1
+# The number if the data centre has no target of its own for the request.
+ONLY_REMOTE_CANDIDATES = 2
 # A target's cost grows by this factor times its failure rate.
 FAILURE_FACTOR = 8.0
 # A target that has just started takes longer by this factor.
@@ -28,6 +33,7 @@
     rng: random.Random
     local_candidates: int = LOCAL_CANDIDATES
     remote_candidates: int = REMOTE_CANDIDATES
+    local_reserve: int = LOCAL_RESERVE
     # Requests that were sent to other data centres.
     remote_count: int = 0
 
@@ -58,16 +64,20 @@
             return None
         local = [t for t in eligible if t.data_centre == self.data_centre]
         remote = [t for t in eligible if t.data_centre != self.data_centre]
-        candidates = self._sample(local, self.local_candidates) + self._sample(
-            remote, self.remote_candidates
-        )
-        by_name = {target.name: target for target in candidates}
-        selected = select(
-            [self._candidate(target, cost_s, now) for target in candidates],
-            objective_left_s,
-        )
+        local = self._sample(local, self.local_candidates + self.local_reserve)
+        count = self.remote_candidates if local else ONLY_REMOTE_CANDIDATES
+        remote = self._sample(remote, count)
+        selected = None
+        for count in (self.local_candidates, len(local)):
+            candidates = local[:count] + remote
+            selected = select(
+                [self._candidate(target, cost_s, now) for target in candidates],
+                objective_left_s,
+            )
+            if selected.local:
+                break
         self.remote_count += not selected.local
-        return by_name[selected.name]
+        return next(t for t in candidates if t.name == selected.name)
 
     def shortest_pause_s(
         self, targets: Collection[TargetInstance], tried: Collection[str]
