--- a/packages/gateway/peridot_gateway/admission.py
+++ b/packages/gateway/peridot_gateway/admission.py
@@ -1,7 +1,6 @@
 """Admission of the gateway: refuse requests that a target can't finish in time."""
 
 from dataclasses import dataclass, field
-from time import monotonic
 
 from peridot_gateway.estimates import Estimates, TargetEstimate
 from peridot_gateway.requests import GatewayRequest
@@ -32,19 +31,19 @@
 
     def check(self, request: GatewayRequest, target: TargetInstance) -> NotRun | None:
         """Return a refusal if a target won't finish a request in time, else None."""
-        now = monotonic()
+        now = self.estimates.clock()
         estimate = self.estimates.get(target.name)
+        cost_s = self.estimates.cost_s(request.service.name, request.route)
+        processing_s = estimate.expected_processing_s(cost_s, now)
         if estimate.is_full(target.slots, now):
-            retry_ms = int(1000 * max(MIN_RETRY_AFTER_S, estimate.processing_s))
+            retry_ms = int(1000 * max(MIN_RETRY_AFTER_S, processing_s))
             return NotRun(Reason.OVERLOADED, retry_ms, "full")
         wait_s = expected_wait_s(estimate, target, now)
-        missing_s = (
-            wait_s + PROCESSING_SHARE * estimate.processing_s - request.remaining_s()
-        )
+        missing_s = wait_s + PROCESSING_SHARE * processing_s - request.remaining_s()
         if wait_s <= 0:
             return None
         if missing_s <= 0:
-            return self._check_room(request, target, estimate, wait_s, now)
+            return self._check_room(request, target, wait_s, processing_s)
         retry_ms = int(1000 * max(MIN_RETRY_AFTER_S, missing_s))
         return NotRun(Reason.OVERLOADED, retry_ms, f"wait {wait_s:.3f}")
 
@@ -52,20 +51,19 @@
         self,
         request: GatewayRequest,
         target: TargetInstance,
-        estimate: TargetEstimate,
         wait_s: float,
-        now: float,
+        processing_s: float,
     ) -> NotRun | None:
         """Return a refusal if a queue's rest is kept for more urgent requests."""
+        estimate, now = self.estimates.get(target.name), self.estimates.clock()
         room = self.sharing.find_room(request)
         if room is None:
             return None
-        work_s = estimate.processing_s
         overloaded = self.sharing.is_overloaded(request.service.name)
-        excess_s = wait_s - room.max_wait_s(work_s, overloaded)
+        excess_s = wait_s - room.max_wait_s(processing_s, overloaded)
         limit = room.max_in_flight(target.slots, estimate.concurrency_limit)
         if excess_s <= 0 and estimate.total_in_flight(now) < limit:
             return None
         return self.sharing.refuse_room(
-            request, max(0.0, excess_s), work_s, f"room {wait_s:.3f}"
+            request, max(0.0, excess_s), processing_s, f"room {wait_s:.3f}"
         )
--- a/packages/gateway/peridot_gateway/daemon.py
+++ b/packages/gateway/peridot_gateway/daemon.py
@@ -23,6 +23,7 @@
 from peridot_gateway.evacuations import Evacuations
 from peridot_gateway.fleet import Fleet, FleetParts
 from peridot_gateway.fleetload import FleetLoad
+from peridot_gateway.fleetwork import add_work_gauges
 from peridot_gateway.ingress import Ingress
 from peridot_gateway.links import serve_fleet
 from peridot_gateway.memory import divide_memory
@@ -161,6 +162,7 @@
             evacuations=self.evacuations,
         )
         self.load.shares.log = log
+        self.load.work.log = log
         self.fleet = Fleet(
             self.local_instance,
             settings.data_centre,
@@ -354,6 +356,9 @@
             "Targets that want no requests from this VM for now.",
             self.estimates.count_paused,
         )
+        add_work_gauges(
+            gauges, self.estimates, self.load.work, self.router.parts.picker
+        )
         gauges.add(
             "targets_announced_leaving",
             "Targets that said in responses, not in the store, that they leave.",
--- a/packages/gateway/peridot_gateway/fleet.py
+++ b/packages/gateway/peridot_gateway/fleet.py
@@ -7,6 +7,7 @@
 
 from peridot_gateway.estimates import Estimates
 from peridot_gateway.fleetload import FleetLoad
+from peridot_gateway.fleetwork import add_work_report
 from peridot_gateway.following import FollowerRole
 from peridot_gateway.leading import LeaderRole
 from peridot_gateway.links import FleetServer, LinkEndReason, ask_member
@@ -383,6 +384,7 @@
         own = load.in_flight.get(self.local_instance.vm, {})
         self.parts.estimates.set_in_flight(load.in_flight_totals(), own)
         self.parts.sharing.apply(load.shares.compute(load.clock()))
+        load.share_work(self.parts.estimates)
         self.follower.peers.update(
             [self.local_instance, *self.leader.roster.instances()]
         )
@@ -396,7 +398,9 @@
             peer_address=self.local_instance.address,
             cores=self.local_instance.cores,
             accepts_patches=True,
-            keys=serialize_keys(self.parts.router.pop_key_counts()),
+            keys=serialize_keys(
+                self.parts.router.pop_key_counts(), self.parts.estimates.pop_key_work()
+            ),
             store_reachable=self._is_store_reachable(),
             leaving=self.leaving,
             routes=self.parts.sharing.pop_reports(),
@@ -415,6 +419,7 @@
                 )
                 item.finished = item.failed = item.busy_count = 0
                 item.busy_ms = 0.0
+        add_work_report(report, self.parts.estimates)
         cold = self.parts.load.cold
         if cold is not None:
             report.targets.extend(cold.build_reports())
--- a/packages/gateway/peridot_gateway/fleetload.py
+++ b/packages/gateway/peridot_gateway/fleetload.py
@@ -6,8 +6,10 @@
 from math import inf
 
 from peridot_gateway.coldtargets import ColdTargets
+from peridot_gateway.estimates import Estimates
 from peridot_gateway.evacuations import Evacuations
 from peridot_gateway.fleetshares import FleetShares
+from peridot_gateway.fleetwork import FleetWork
 from peridot_gateway.sources import ConfigurationSource
 from peridot_gateway.targets import TargetSource
 from peridot_ownership.loads import KeyLoads
@@ -30,6 +32,7 @@
     processing_times: dict[str, float] = field(default_factory=dict)
     # Requests in flight by VM and target.
     in_flight: dict[str, dict[str, int]] = field(default_factory=dict)
+    work: FleetWork = field(default_factory=FleetWork)
     clock: Callable[[], float] = boot_time
     cold: ColdTargets | None = None
     evacuations: Evacuations | None = None
@@ -40,6 +43,10 @@
             lambda: self.configuration.configuration,
             self.targets_of,
             self.processing_s,
+            lambda service, route: self.work.costs.learned_s(
+                service, route, self.clock()
+            ),
+            lambda target: self.work.speeds.current(target, self.clock()),
         )
 
     def divided_services(self) -> list[str]:
@@ -59,7 +66,10 @@
         return self.keys.setdefault(service, KeyLoads())
 
     def processing_s(self, target: str) -> float | None:
-        return self.processing_times.get(target)
+        instance = self.targets.targets.get(target)
+        service = instance.service if instance is not None else ""
+        processing_s = self.work.processing_s(service, target, self.clock())
+        return processing_s or self.processing_times.get(target)
 
     def cold_rate(self, target: TargetInstance) -> float:
         if self.cold is None or not self.cold.left_s(target):
@@ -77,7 +87,8 @@
         if self.cold is not None:
             self.cold.record_report(report)
         for counts in report.keys:
-            pairs = zip(counts.keys, counts.counts, strict=True)
+            weights = self.work.weigh_keys(counts, report.vm, now)
+            pairs = zip(counts.keys, weights, strict=True)
             self.loads_of(counts.service).add(pairs, now)
         self.shares.record(report, now)
         for item in report.targets:
@@ -85,6 +96,7 @@
                 self._record_processing_time(item)
             if item.leaving:
                 self.targets.announce_leaving(item.target, item.started_ms)
+        self.work.record_report(report, now)
         self.in_flight[report.vm] = {
             item.target: item.in_flight for item in report.targets if item.in_flight
         }
@@ -100,6 +112,22 @@
         self.in_flight.pop(vm, None)
         if self.cold is not None:
             self.cold.remove_vm(vm)
+        self.work.remove_vm(vm)
+
+    def share_work(self, estimates: Estimates) -> None:
+        """Hand the fleet's work figures to the estimates of the placer's own VM."""
+        now = self.clock()
+        services = self.targets.by_service.items()
+        self.work.centre(
+            ((name, [item.name for item in items]) for name, items in services), now
+        )
+        names = list(self.targets.targets)
+        speeds = ((name, self.work.speeds.current(name, now)) for name in names)
+        estimates.set_shared(
+            self.work.totals_s(),
+            {name: speed for name, speed in speeds if speed is not None},
+            {(s, r): cost_s for s, r, cost_s in self.work.learned_costs(now)},
+        )
 
     def in_flight_totals(self) -> Counter[str]:
         """Return the requests in flight from all VMs by target."""
--- a/packages/gateway/peridot_gateway/fleetshares.py
+++ b/packages/gateway/peridot_gateway/fleetshares.py
@@ -30,6 +30,10 @@
     targets_of: Callable[[str], Iterable[TargetInstance]]
     # Mean processing time of a target (s), None if it isn't known.
     processing_s: Callable[[str], float | None]
+    # Work of a request by service and route (s), and speed of a target; None if they
+    # aren't known.
+    find_cost_s: Callable[[str, str], float | None] = lambda service, route: None
+    find_speed: Callable[[str], float | None] = lambda target: None
     log: DecisionLog = field(default_factory=MemoryDecisionLog)
     services: dict[str, ServiceLevels] = field(default_factory=dict)
     # The shares by route that were last logged, by service, and when (s).
@@ -48,10 +52,11 @@
 
     def record(self, report: pb.FleetReport, now: float) -> None:
         """Count the arrivals and refusals that one VM reports."""
-        if not report.routes:
+        counted = [item for item in report.routes if item.arrived or item.refused]
+        if not counted:
             return
         self._find_shared()
-        for item in report.routes:
+        for item in counted:
             service, route = item.service, item.route
             if (service, route) not in self.known:
                 continue
@@ -83,12 +88,17 @@
             targets = [t for t in self.targets_of(service) if not t.leaving]
             plans = {
                 route.name: RoutePlan(
-                    route.priority, self.expected_work_s(route, targets)
+                    route.priority,
+                    self.find_cost_s(service, route.name)
+                    or self.expected_work_s(route, targets),
                 )
                 for route in shared[service]
                 if route.name in levels.routes
             }
-            slots = sum(max(0, target.slots) for target in targets)
+            slots = sum(
+                max(0, target.slots) * (self.find_speed(target.name) or 1.0)
+                for target in targets
+            )
             found = levels.update(plans, slots, now)
             active = levels.active_routes() if found else []
             if len(active) < 2:
@@ -125,7 +135,7 @@
     def expected_work_s(self, route: Route, targets: list[TargetInstance]) -> float:
         """Return the expected work of a request of a route (s of a slot).
 
-        Until work is measured by route, this is the mean processing time of the
+        Until work is measured by route, it is the mean processing time of the
         service's targets, weighted by how many requests each can serve.
         """
         slots = rate = 0.0
--- a/packages/gateway/peridot_gateway/following.py
+++ b/packages/gateway/peridot_gateway/following.py
@@ -7,6 +7,7 @@
 from peridot_gateway.coldtargets import ColdTargets
 from peridot_gateway.estimates import Estimates
 from peridot_gateway.evacuations import Evacuations
+from peridot_gateway.fleetwork import apply_work_state
 from peridot_gateway.links import HEARTBEAT_TIMEOUT_S, LinkEndReason, follow_placer
 from peridot_gateway.messages import (
     parse_entry,
@@ -141,7 +142,7 @@
             )
         if self.cold is not None:
             self.cold.apply_state(state.cold_targets)
-        if state.routes:
+        if any(item.admit_permille for item in state.routes):
             self.handle_routes(state.routes)
         if state.in_flight_names:
             self.in_flight_names = list(state.in_flight_names)
@@ -151,6 +152,12 @@
             indexes, counts = state.own_in_flight_indexes, state.own_in_flight_counts
             own = {names[i]: count for i, count in zip(indexes, counts, strict=True)}
             self.estimates.set_in_flight(totals, own)
+            self._apply_work(state)
+
+    def _apply_work(self, state: pb.FleetState) -> None:
+        dropped = apply_work_state(self.estimates, self.in_flight_names, state)
+        if dropped:
+            self.log.write("figure_dropped", figure="state", dropped=dropped)
 
     def _apply_target_entries(self, state: pb.FleetState) -> None:
         """Apply the changes of targets that the placer pushed, if there are any."""
--- a/packages/gateway/peridot_gateway/sender.py
+++ b/packages/gateway/peridot_gateway/sender.py
@@ -232,9 +232,12 @@
         use = ConnectionUse(max_idle_s)
         async with AsyncExitStack() as exchange:
             estimate = exchange.enter_context(
-                self.estimates.track_attempt(target.name, request.route)
+                self.estimates.track_attempt(
+                    target.name, request.route, request.service.name
+                )
             )
             ahead = estimate.total_in_flight(began)
+            ahead_s = estimate.work_ahead_s(target.slots, began)
             silence = silence_timeout(estimate, silence_timeout_s, may_give_up)
             session = await exchange.enter_async_context(connections.use_session())
             with use_connection(use):
@@ -250,6 +253,7 @@
             upload = request.upload
             if upload is not None and (fault := upload.find_fault(result.outcome)):
                 return AttemptResult(fault)
+            self._record_work(request, target, result, began, ahead_s)
             result = self._record_result(target, estimate, result, began, ahead)
             if (stream := result.stream) is not None:
                 # The slot counts as in use until the stream has been received.
@@ -295,6 +299,40 @@
                 estimate.record_failure(now)
         return result
 
+    def _record_work(
+        self,
+        request: GatewayRequest,
+        target: TargetInstance,
+        result: AttemptResult,
+        began: float,
+        ahead_s: float,
+    ) -> None:
+        """Learn the cost of the route and the speed of the target from a result."""
+        service, route = request.service.name, request.route
+        duration_s = monotonic() - began
+        match result.outcome:
+            case Answered(status=status) if status < 500:
+                load = result.response_headers.load if result.response_headers else None
+                if not self.estimates.record_work(
+                    target.name,
+                    service,
+                    route,
+                    duration_s,
+                    ahead_s,
+                    load,
+                    request.service.divided_by_key,
+                ):
+                    self.log.write(
+                        "figure_dropped",
+                        figure="slowdown",
+                        target=target.name,
+                        value=load.slowdown,
+                    )
+            case Unknown(reason=Reason.DEADLINE):
+                self.estimates.record_silence(
+                    target.name, service, route, duration_s, ahead_s
+                )
+
     def _max_idle_connections(self, service: ServiceConfiguration) -> int:
         """Return how many idle connections to keep to each target of a service.
 
--- a/packages/gateway/peridot_gateway/states.py
+++ b/packages/gateway/peridot_gateway/states.py
@@ -4,6 +4,7 @@
 from time import monotonic
 
 from peridot_gateway.fleetload import FleetLoad
+from peridot_gateway.fleetwork import WorkState, state_period_s
 from peridot_gateway.messages import (
     parse_tables,
     serialize_age,
@@ -24,6 +25,9 @@
 ROSTER_PERIOD_S = 0.005
 # A list of fewer members is sent whenever it changes.
 SMALL_ROSTER = 16
+# While targets come and go, many members get their names, of some kilobytes, at most
+# this often. New targets have no counts until then.
+NAMES_PERIOD_S = 2.0
 # Unchanged shares are sent this often: members use none that are older than 2 s.
 SHARES_PERIOD_S = 0.75
 # Number of last tables that are kept to send members the changes since.
@@ -42,6 +46,7 @@
     in_flight_names: tuple[str, ...] = ()
     shares: list[pb.RouteState] = field(default_factory=list)
     shares_sent_at: float = float("-inf")
+    work_sent_at: float = float("-inf")
     # TargetSource.change_count at the last message; None before the first list.
     change_count: int | None = None
 
@@ -61,10 +66,12 @@
     patches: dict[int, list[pb.OwnerPatch]] = field(default_factory=dict)
     # The last counts of requests in flight and their targets, and when they were made.
     in_flight_names: tuple[str, ...] = ()
+    in_flight_names_at: float = float("-inf")
     in_flight_counts: list[int] = field(default_factory=list)
     in_flight_at: float = float("-inf")
     in_flight_indexes: dict[str, int] = field(default_factory=dict)
     in_flight_by_vm: dict[str, dict[str, int]] = field(default_factory=dict)
+    work: WorkState = field(default_factory=WorkState)
 
     def build_state(self, placer: Placer, vm: str, sent: SentState) -> pb.FleetState:
         """Return the state for a member, without what it has been sent already."""
@@ -190,16 +197,26 @@
             state.routes.extend(shares)
             sent.shares, sent.shares_sent_at = shares, monotonic()
 
+    def _are_names_due(self, now: float) -> bool:
+        """Return whether to send the names of all targets again if they changed."""
+        return (
+            len(self.roster.members) < SMALL_ROSTER
+            or now >= self.in_flight_names_at + NAMES_PERIOD_S
+        )
+
     def _add_in_flight(self, state: pb.FleetState, vm: str, sent: SentState) -> None:
         now = monotonic()
         if now >= self.in_flight_at + IN_FLIGHT_PERIOD_S / 2:
             totals = self.load.in_flight_totals()
-            self.in_flight_names = tuple(self.load.targets.targets)
+            if self._are_names_due(now):
+                self.in_flight_names = tuple(self.load.targets.targets)
+                self.in_flight_names_at = now
             self.in_flight_counts = [totals[name] for name in self.in_flight_names]
             self.in_flight_indexes = {n: i for i, n in enumerate(self.in_flight_names)}
             # The parts that the totals consist of, also after later reports.
             self.in_flight_by_vm = dict(self.load.in_flight)
             self.in_flight_at = now
+            self.work.update(self.load.work, self.in_flight_names, self.load.clock())
         if sent.in_flight_names != self.in_flight_names:
             state.in_flight_names.extend(self.in_flight_names)
             sent.in_flight_names = self.in_flight_names
@@ -208,3 +225,7 @@
             if name in self.in_flight_indexes:
                 state.own_in_flight_indexes.append(self.in_flight_indexes[name])
                 state.own_in_flight_counts.append(count)
+        period_s = state_period_s(len(self.roster.members), IN_FLIGHT_PERIOD_S)
+        if now >= sent.work_sent_at + period_s:
+            self.work.add_to(state)
+            sent.work_sent_at = now
--- a/packages/ownership/peridot_ownership/planner.py
+++ b/packages/ownership/peridot_ownership/planner.py
@@ -31,9 +31,9 @@
 # Above this share of busy time many requests wait, so that chance isn't waited for.
 SATURATED_UTILISATION = 0.8
 # Rates are measured over about two seconds, in which a target sees ten to twenty
-# requests. Only deviations of this many standard errors move keys: the others are
-# mostly chance, and requests wait while their keys move.
-HOT_DEVIATIONS = 1.0
+# requests. Smaller deviations than so many standard errors are mostly chance, and
+# requests wait while their keys move. Hot targets make requests late, idle ones don't.
+HOT_DEVIATIONS = 0.5
 IDLE_DEVIATIONS = 3.0
 # Unowned ranges are assigned in parts of this share of the mean load per target.
 UNOWNED_PART_SHARE = 0.25
