--- a/packages/gateway/tests/test_admission.py
+++ b/packages/gateway/tests/test_admission.py
@@ -56,3 +56,23 @@
         free_at[slot] = starts + PROCESSING_S
         served += starts + PROCESSING_S - now <= deadline_s
     return int(served)
+
+
+def test_a_cheap_request_is_admitted_where_a_costly_one_is_refused(
+    make_request, make_target
+):
+    """The load: routes of one service whose requests need 50 and 900 ms.
+
+    The earlier rule, by one processing time per target, refuses both or none.
+    """
+    estimates = Estimates()
+    now = estimates.clock()
+    for route, cost_s in (("cheap", 0.05), ("costly", 0.9)):
+        estimates.costs.set_shared("files", route, cost_s, now)
+    estimates.speeds.set_shared("t", 1.0, now)
+    estimate = estimates.get("t")
+    estimate.in_flight, estimate.in_flight_work_s = 6, 1.8
+    admission, target = Admission(estimates), make_target("t")
+    # Four requests ahead of 0.3 s each take 0.4 s at three slots; 1 s remains.
+    assert admission.check(make_request(name="cheap"), target) is None
+    assert admission.check(make_request(name="costly"), target) is not None
--- a/packages/gateway/tests/test_leading.py
+++ b/packages/gateway/tests/test_leading.py
@@ -287,3 +287,27 @@
                 assert list(state.own_in_flight_counts) == [own]
 
     asyncio.run(scenario())
+
+
+def test_members_get_work_speeds_and_costs():
+    async def scenario():
+        async with lead() as (_, leader, _):
+            leader.load.targets.targets |= {"t-1": None, "t-2": None}
+            report = make_report(True)
+            report.targets.add(
+                target="t-2",
+                in_flight=2,
+                in_flight_work_ms=700.0,
+                speed_permille=500,
+                speed_count=5,
+            )
+            report.routes.add(service="files", route="r", work_ms=900.0, work_count=3)
+            leader.handle_report(report)
+            state = leader.build_state("vm-2", SentState())
+            assert list(state.in_flight_work_ms) == [0, 700]
+            # 0 stands for a target without samples.
+            assert list(state.speeds_permille) == [0, 500]
+            (route,) = state.routes
+            assert (route.service, route.route, route.cost_ms) == ("files", "r", 300)
+
+    asyncio.run(scenario())
--- a/packages/gateway/tests/test_messages.py
+++ b/packages/gateway/tests/test_messages.py
@@ -40,3 +40,12 @@
 def test_key_counts_are_serialized_as_pairs():
     (message,) = serialize_keys({"files": Counter({7: 2, 9: 1})})
     assert dict(zip(message.keys, message.counts, strict=True)) == {7: 2, 9: 1}
+
+
+def test_work_by_key_is_sent_only_if_it_is_known_for_all_keys():
+    """Guards against keys that look free beside others whose work is known."""
+    counts = {"files": Counter({7: 2, 9: 1})}
+    (known,) = serialize_keys(counts, {"files": {9: 0.25, 7: 0.1}})
+    assert list(known.work_ms) == [100, 250]
+    (partly,) = serialize_keys(counts, {"files": {7: 0.1}})
+    assert not partly.work_ms
