--- a/packages/gateway/peridot_gateway/fleetwork.py
+++ b/packages/gateway/peridot_gateway/fleetwork.py
@@ -29,6 +29,8 @@
 DROPPED_LOG_S = 1.0
 # The placer of more members than this sends them the work in flight less often.
 MEMBERS_PER_PERIOD = 300
+# Longest time between them (s); members use figures for 2 s.
+MAX_PERIOD_S = 1.8
 
 
 @dataclass
@@ -208,7 +210,7 @@
 
     With thousands of VMs the figures of each target would fill the placer's link.
     """
-    return min(1.0, period_s * max(1.0, members / MEMBERS_PER_PERIOD))
+    return min(MAX_PERIOD_S, period_s * max(1.0, members / MEMBERS_PER_PERIOD))
 
 
 def apply_work_state(
