--- a/packages/scheduling/peridot_scheduling/selection.py
+++ b/packages/scheduling/peridot_scheduling/selection.py
@@ -7,9 +7,9 @@
 # data centres is expensive, and local targets stay reachable if the data centre is cut
 # off.
 REMOTE_FACTOR = 1.3
-# The factor while the local target is expected to finish within this share of the time
-# that is left for the objective. Processing times vary, so the rest is a margin.
-RELAXED_REMOTE_FACTOR = 1.8
+# While the best local target is expected to finish within this share of the time that is
+# left for the objective, callers gain nothing elsewhere. Processing times vary, so the
+# rest is a margin.
 OBJECTIVE_SHARE = 0.5
 
 
@@ -48,8 +48,8 @@
 ) -> Candidate | None:
     """Return the target to send a request to, None without candidates.
 
-    The best local target is preferred unless the best remote one finishes clearly
-    sooner. The time left for the objective (s) decides what counts as clearly.
+    The best local target is taken if it is expected to finish well within the time left
+    for the objective (s), and otherwise unless the best remote one is clearly sooner.
     """
     local = min(
         (item for item in candidates if item.local),
@@ -63,8 +63,7 @@
     )
     if local is None or remote is None:
         return local or remote
-    factor = REMOTE_FACTOR
     if objective_left_s is not None:
         if local.cost <= OBJECTIVE_SHARE * objective_left_s:
-            factor = RELAXED_REMOTE_FACTOR
-    return remote if remote.cost * factor < local.cost else local
+            return local
+    return remote if remote.cost * REMOTE_FACTOR < local.cost else local
