Keep the rhythm of reports and states where nothing is limited

Cause: the wait for early reports and states changed also without limits. Measured: test_fleet.py, test_coldtargets.py, test_evacuations.py and test_coldsite.py pass; test_leading.py but for its known fault.

--- a/packages/gateway/peridot_gateway/coldtargets.py
+++ b/packages/gateway/peridot_gateway/coldtargets.py
@@ -1,5 +1,6 @@
 """Cold targets: what this VM knows of them, and what the placer allots to VMs."""
 
+import asyncio
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
@@ -159,7 +160,9 @@
 
     async def wait_for_report(self, timeout_s: float) -> None:
         """Return when the next report is due, after a time (s) at the latest."""
-        if not self.report_requested:
+        if self.rate_factor is None:
+            await asyncio.sleep(timeout_s)
+        elif not self.report_requested:
             await self.report_due.wait(timeout_s)
         self.report_requested = False
 
--- a/packages/gateway/peridot_gateway/links.py
+++ b/packages/gateway/peridot_gateway/links.py
@@ -64,6 +64,8 @@
         self.build_answer = build_answer
         self.wait_for_change = wait_for_change
         self.remove_member = remove_member
+        # Whether members have waited for states; before, nothing else brings them on.
+        self.has_waiting = False
 
     async def Join(self, stream: Stream) -> None:
         """Handle a member's reports and send it the placer's states."""
@@ -81,6 +83,7 @@
                 if report is None:
                     return
                 if self.handle_report(report):
+                    self.has_waiting = True
                     state_due.set()
         except LINK_ERRORS:
             return
@@ -105,7 +108,10 @@
             if not state.leading:
                 return
             began = monotonic()
-            await self._wait_until_due(state_due)
+            if self.has_waiting:
+                await self._wait_until_due(state_due)
+            else:
+                await self.wait_for_change(REPORT_PERIOD_S)
             await asyncio.sleep(max(0.0, began + MIN_STATE_INTERVAL_S - monotonic()))
 
     async def _wait_until_due(self, state_due: asyncio.Event) -> None:
--- a/packages/gateway/tests/test_fleet.py
+++ b/packages/gateway/tests/test_fleet.py
@@ -163,6 +163,8 @@
     async def scenario():
         demand, times, cold = [], [], ColdTargets("v", None, None, MemoryDecisionLog())
 
+        cold.set_limits(1.5, 8.0)
+
         async def wait_for_change(timeout_s):
             await asyncio.sleep(timeout_s)
 
