--- a/packages/scheduling/peridot_scheduling/selection.py
+++ b/packages/scheduling/peridot_scheduling/selection.py
@@ -7,9 +7,9 @@
 # data centres is expensive, and local targets stay reachable if the data centre is cut
 # off.
 REMOTE_FACTOR = 1.3
-# While the best local target is expected to finish within this share of the time that is
-# left for the objective, callers gain nothing elsewhere. Processing times vary, so the
-# rest is a margin.
+# While the best local target is expected to finish within this share of the time left
+# for the objective, callers gain nothing elsewhere. Processing times vary, so the rest
+# is a margin.
 OBJECTIVE_SHARE = 0.5
 
 
