Check manifests before they are applied

Validation looks at each manifest alone, so a class or a path that never matches, a policy that no service names, or slots that the connections don't allow are only noticed in service.

--- a/packages/ctl/peridot_ctl/main.py
+++ b/packages/ctl/peridot_ctl/main.py
@@ -21,6 +21,7 @@
 from peridot_ctl.reports import format_report, make_report, plot_report
 from peridot_ctl.tables import (
     format_change,
+    format_check,
     format_json,
     format_objects,
     format_status,
@@ -31,6 +32,7 @@
 from peridot_objects.outcomes import StoreUnavailable
 from peridot_resources.catalog import CONFIGURATION_KINDS
 from peridot_resources.errors import InvalidManifests
+from peridot_resources.findings import ERROR
 
 EXIT_OK = 0
 EXIT_INVALID = 1
@@ -39,11 +41,17 @@
 EXIT_UNAVAILABLE = 4
 EXIT_UNKNOWN = 5
 EXIT_NOT_IN_FORCE = 6
+# Exit codes of check, which has its own.
+EXIT_WARNINGS = 1
+EXIT_ERRORS = 2
+EXIT_STATE_UNREADABLE = 3
 
 USAGE = """peridotctl [flags] COMMAND [arguments]
 
 commands:
   validate FILE...        check manifests without the object API
+  check FILE...           find errors, entries that never match and contradictory
+                          limits (--json); --against the stored state also what differs
   apply FILE...           store manifests (--dry_run, --diff)
   get KIND [NAME]         show resources (--output=table|json)
   watch [KIND]            print resources, then each change
@@ -58,11 +66,15 @@
 exit codes: 0 success, 1 invalid manifest or nothing found, 2 wrong usage,
 3 conflicting change by another operator, 4 request refused, object API or daemon
 unavailable, 5 outcome unknown, 6 not in force in time
+exit codes of check: 0 nothing found, 1 warnings only, 2 errors or wrong usage,
+3 the stored state can't be read; differences don't change them
 """
 
 flags.DEFINE_string("object_api", "http://127.0.0.1:6000", "URL of the object API.")
 flags.DEFINE_string("admin", "http://127.0.0.1:7080", "URL of a daemon's admin pages.")
 flags.DEFINE_enum("output", "table", ("table", "json"), "Output format.")
+flags.DEFINE_bool("json", False, "Print the results of check as JSON.")
+flags.DEFINE_bool("against", False, "Check against the state in the object API.")
 flags.DEFINE_bool("dry_run", False, "Show what apply would do; store nothing.")
 flags.DEFINE_bool("diff", False, "Show the changed lines of each resource.")
 flags.DEFINE_bool("wait", False, "Wait until the accepted revision is in force.")
@@ -140,6 +152,23 @@
     return EXIT_OK
 
 
+async def run_check(context: CommandContext, arguments: list[str]) -> int:
+    """Show faults of manifests and how they differ from the stored state."""
+    result, failure = await porcelain.check(
+        context.store, parse_paths(arguments), flags.FLAGS.against
+    )
+    if flags.FLAGS.json:
+        print(orjson.dumps(result).decode())
+    else:
+        print(format_check(result))
+    if failure is not None:
+        report_unavailable(failure)
+        return EXIT_STATE_UNREADABLE
+    if any(finding.severity == ERROR for finding in result.findings):
+        return EXIT_ERRORS
+    return EXIT_WARNINGS if result.findings else EXIT_OK
+
+
 async def run_apply(context: CommandContext, arguments: list[str]) -> int:
     """Store manifests."""
     outcomes = await porcelain.apply(
@@ -271,6 +300,7 @@
 
 COMMANDS: dict[str, Callable[[CommandContext, list[str]], Awaitable[int]]] = {
     "validate": run_validate,
+    "check": run_check,
     "apply": run_apply,
     "get": run_get,
     "watch": run_watch,
--- a/packages/ctl/peridot_ctl/porcelain.py
+++ b/packages/ctl/peridot_ctl/porcelain.py
@@ -34,7 +34,12 @@
 )
 from peridot_resources.catalog import CONFIGURATION_KINDS, Kind
 from peridot_resources.errors import InvalidManifests
-from peridot_resources.manifests import check_references, read_manifests
+from peridot_resources.findings import CheckResult, check_declarations
+from peridot_resources.manifests import (
+    check_references,
+    read_declarations,
+    read_manifests,
+)
 from peridot_resources.models import Manifest, dump_spec
 
 WATCH_TIMEOUT_S = 30.0
@@ -99,6 +104,25 @@
     return read_manifests(files)
 
 
+async def check(
+    store: ObjectStore, files: Iterable[Path], against: bool
+) -> tuple[CheckResult, StoreUnavailable | None]:
+    """Return what a check of files finds, by themselves or against the stored state.
+
+    If the stored state can't be read, the files are checked by themselves.
+    """
+    declarations, errors = read_declarations(files)
+    if not against:
+        return check_declarations(declarations, errors), None
+    listing = await store.list(sorted(CONFIGURATION_KINDS))
+    if isinstance(listing, Listing) and listing.unreadable:
+        listing = StoreUnavailable("; ".join(listing.unreadable))
+    if not isinstance(listing, Listing):
+        return check_declarations(declarations, errors), listing
+    stored = {(o.kind, o.name): orjson.loads(o.value) for o in listing.objects}
+    return check_declarations(declarations, errors, stored), None
+
+
 async def apply(
     store: ObjectStore, files: Iterable[Path], dry_run: bool = False
 ) -> list[ActionOutcome]:
--- a/packages/ctl/peridot_ctl/tables.py
+++ b/packages/ctl/peridot_ctl/tables.py
@@ -6,6 +6,7 @@
 
 from peridot_ctl.porcelain import StatusView
 from peridot_objects.outcomes import Change, DeletedObject, StoredObject
+from peridot_resources.findings import CheckResult
 
 
 def format_table(header: Sequence[str], rows: Iterable[Sequence[object]]) -> str:
@@ -88,6 +89,21 @@
     )
 
 
+def format_check(result: CheckResult) -> str:
+    """Return findings and differences as lines; changed fields are indented."""
+    lines = [str(finding) for finding in result.findings]
+    for item in result.differences or ():
+        lines.append(f"{item.action}: {item.kind}/{item.name}")
+        for field in sorted({*item.before, *item.after}):
+            values = [
+                orjson.dumps(side[field]).decode() if field in side else "absent"
+                for side in (item.before, item.after)
+            ]
+            if item.action == "changed":
+                lines.append(f"  {field}: {' -> '.join(values)}")
+    return "\n".join(lines) or "nothing found"
+
+
 def _summarize_spec(item: StoredObject) -> str:
     spec = orjson.loads(item.value).get("spec", {})
     parts = [f"{k}={v}" for k, v in spec.items() if isinstance(v, str | int | bool)]
--- a/packages/ctl/tests/test_main.py
+++ b/packages/ctl/tests/test_main.py
@@ -13,12 +13,16 @@
 from peridot_ctl.errors import Applied, Conflicted, Failed, OutcomeUnknown
 from peridot_ctl.main import (
     EXIT_CONFLICT,
+    EXIT_ERRORS,
     EXIT_OK,
+    EXIT_STATE_UNREADABLE,
     EXIT_UNAVAILABLE,
     EXIT_UNKNOWN,
+    EXIT_WARNINGS,
     CommandContext,
     run,
     run_apply,
+    run_check,
     worst_exit_code,
 )
 from peridot_objects.objects import MemoryObjectStore
@@ -90,3 +94,36 @@
 )
 def test_exit_code_is_that_of_the_worst_outcome(outcomes, code):
     assert worst_exit_code(outcomes) == code
+
+
+# Guards against scripts that go on with a configuration that is wrong or unchecked, and
+# against differences that lack values.
+@pytest.mark.parametrize(
+    ("spec", "json", "outage", "code", "shown"),
+    [
+        ("{}", False, False, EXIT_WARNINGS, "  spec.priority: 1 -> 5\n"),
+        ("{}", False, False, EXIT_WARNINGS, "  spec.queueLength: absent -> 200\n"),
+        ("{}", False, False, EXIT_WARNINGS, "added: RoutingPolicy/p\nremoved: Routi"),
+        ("{}", True, False, EXIT_WARNINGS, '"before":{"spec.priority":1},"after":{'),
+        ('{"priority": 10}', False, False, EXIT_ERRORS, "f:2: error: spec.priority: "),
+        ("{}", False, True, EXIT_STATE_UNREADABLE, "f:2: warning: RoutingPolicy/p: "),
+        (None, False, False, EXIT_OK, "nothing found"),
+    ],
+)
+def test_check_shows_findings_and_differences(
+    spec, json, outage, code, shown, tmp_path, capsys
+):
+    async def check():
+        store = MemoryObjectStore()
+        for name in "oq" if spec else "":
+            await store.write("RoutingPolicy", name, b'{"spec": {"priority": 1}}', 0)
+        await store.set_outage(outage)
+        return await run_check(CommandContext(store, session=None), [str(file)])
+
+    file = tmp_path / "f"
+    first = '{"kind": "RoutingPolicy", "name": "o", "spec": {}}'
+    second = first.replace('"o"', '"p"').replace("{}", spec or "")
+    file.write_text(f"[{first},\n{second}]" if spec else "[]")
+    with flagsaver.flagsaver(against=True, json=json):
+        assert asyncio.run(check()) == code
+    assert shown in capsys.readouterr().out
--- a/packages/resources/peridot_resources/manifests.py
+++ b/packages/resources/peridot_resources/manifests.py
@@ -2,6 +2,7 @@
 
 import re
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from pathlib import Path as FilePath
 
 import pyjson5
@@ -19,12 +20,43 @@
 MAX_VALUE_BYTES = 1_000_000
 
 
+@dataclass(frozen=True)
+class Declaration:
+    """A valid manifest, its file, its path there and the lines of the file's fields."""
+
+    manifest: Manifest
+    file: str
+    path: Path
+    lines: dict[Path, int]
+
+    @property
+    def identity(self) -> tuple[str, str]:
+        """Return the kind and name."""
+        return self.manifest.kind, self.manifest.name
+
+    def line_of(self, field: Path) -> int:
+        """Return the line of a field, 1 if the lines aren't known."""
+        return nearest_line(self.lines, (*self.path, *field))
+
+
 def read_manifests(files: Iterable[FilePath]) -> list[Manifest]:
     """Return the validated manifests of all files.
 
     Raises InvalidManifests with the errors of all files if there are any.
     """
-    manifests: list[Manifest] = []
+    declarations, errors = read_declarations(files)
+    manifests = [declaration.manifest for declaration in declarations]
+    errors.extend(check_duplicates(manifests))
+    if errors:
+        raise InvalidManifests(errors)
+    return manifests
+
+
+def read_declarations(
+    files: Iterable[FilePath],
+) -> tuple[list[Declaration], list[ManifestError]]:
+    """Return the valid declarations of all files and the errors of the others."""
+    declarations: list[Declaration] = []
     errors: list[ManifestError] = []
     for file in files:
         try:
@@ -32,17 +64,22 @@
         except (OSError, UnicodeDecodeError) as error:
             errors.append(ManifestError(str(file), 1, "file", str(error)))
             continue
-        parsed, parse_errors = parse_manifests(text, str(file))
-        manifests.extend(parsed)
+        parsed, parse_errors = parse_declarations(text, str(file))
+        declarations.extend(parsed)
         errors.extend(parse_errors)
-    errors.extend(check_duplicates(manifests))
-    if errors:
-        raise InvalidManifests(errors)
-    return manifests
+    return declarations, errors
 
 
 def parse_manifests(text: str, file: str) -> tuple[list[Manifest], list[ManifestError]]:
     """Return the valid manifests of a text and the errors of the others."""
+    declarations, errors = parse_declarations(text, file)
+    return [declaration.manifest for declaration in declarations], errors
+
+
+def parse_declarations(
+    text: str, file: str
+) -> tuple[list[Declaration], list[ManifestError]]:
+    """Return the valid declarations of a text and the errors of the others."""
     try:
         document = pyjson5.decode(text)
     except pyjson5.Json5Exception as error:
@@ -53,15 +90,15 @@
         items = [((index,), item) for index, item in enumerate(document)]
     else:
         items = [((), document)]
-    manifests: list[Manifest] = []
+    declarations: list[Declaration] = []
     errors: list[ManifestError] = []
     for path, item in items:
-        parsed = _parse_manifest(item, file, path, lines)
+        parsed = parse_manifest(item, file, path, lines)
         if isinstance(parsed, list):
             errors.extend(parsed)
         else:
-            manifests.append(parsed)
-    return manifests, errors
+            declarations.append(Declaration(parsed, file, path, lines))
+    return declarations, errors
 
 
 def check_duplicates(manifests: Iterable[Manifest]) -> list[ManifestError]:
@@ -85,7 +122,7 @@
     declared = {(manifest.kind, manifest.name) for manifest in manifests}
     errors = []
     for manifest in manifests:
-        for field, kind, name in _list_references(manifest):
+        for field, kind, name in list_references(manifest):
             if (kind, name) in declared or exists(kind, name):
                 continue
             where = f"{manifest.kind}/{manifest.name} {field}"
@@ -93,7 +130,8 @@
     return errors
 
 
-def _list_references(manifest: Manifest) -> list[tuple[str, str, str]]:
+def list_references(manifest: Manifest) -> list[tuple[str, str, str]]:
+    """Return the field, kind and name of each reference to another resource."""
     if isinstance(manifest, ServiceManifest):
         return [("spec.policy", "RoutingPolicy", manifest.spec.policy)]
     if isinstance(manifest, TargetManifest):
@@ -101,9 +139,10 @@
     return []
 
 
-def _parse_manifest(
+def parse_manifest(
     item: object, file: str, path: Path, lines: dict[Path, int]
 ) -> Manifest | list[ManifestError]:
+    """Return the manifest at a path of a file, or its errors."""
     line = nearest_line(lines, path)
     if not isinstance(item, dict):
         return [ManifestError(file, line, "-", "a manifest must be a JSON object")]
