--- a/packages/fakes/tests/test_unreadable_objects.py
+++ b/packages/fakes/tests/test_unreadable_objects.py
@@ -302,6 +302,7 @@
 
     class Parts:
         configuration = targets = fleet = Counted
+        evacuations = None
 
     samples = {s.labels["kind"]: s.value for s in family(Parts).samples}
     assert samples == {"servers": 2, "placements": 1}
