Try no targets of evacuated zones

A target that failed before its zone was evacuated got a small range as a trial while the zone was evacuated, since only the planner's capacities left such zones out. Trials leave them out as well.

test_a_target_of_an_evacuated_zone_is_not_tried fails without the change.

--- a/packages/ownership/peridot_ownership/placer.py
+++ b/packages/ownership/peridot_ownership/placer.py
@@ -321,6 +321,7 @@
             if (state := self.target_states.get(target.name)) is not None
             and state.is_failing(now)
             and not target.leaving
+            and self.view.evacuated_for_s(target) is None
             and not self.view.is_address_reused(target)
         }
 
--- a/packages/ownership/tests/test_placer.py
+++ b/packages/ownership/tests/test_placer.py
@@ -872,6 +872,27 @@
     run(check())
 
 
+# Guards against a trial that sends requests into an evacuated zone.
+def test_a_target_of_an_evacuated_zone_is_not_tried(monkeypatch):
+    monkeypatch.setattr(trials_module, "MIN_TRIAL_DELAY_S", 0.05)
+
+    async def check():
+        harness = PlacerHarness("a b")
+        async with harness.run_placer("vm1") as placer:
+            await wait_until(placer, lambda: harness.owners(placer) == {"a", "b"})
+            harness.lease_client.holder("a").reachable = False
+            await wait_until(placer, lambda: harness.owners(placer) == {"b"})
+            harness.view.evacuated = {"a"}
+            harness.lease_client.holder("a").reachable = True
+            harness.log.lines.clear()
+            await asyncio.sleep(0.4)
+            assert not any("destination=a" in line for line in harness.log.lines)
+            harness.view.evacuated = set()
+            await wait_until(placer, lambda: harness.owners(placer) == {"a", "b"})
+
+    run(check())
+
+
 # Guards against the wait for a trial, or none at all, for a target that starts again.
 def test_a_new_start_of_a_target_resets_the_evidence_of_failure(monkeypatch):
     monkeypatch.setattr(trials_module, "MIN_TRIAL_DELAY_S", 99.0)
