Look at each range once for all trials of a plan

For each trial, all ranges were subtracted by all trials before and their loads summed. After a failure of a service of thousands of targets, a plan would take minutes. The ends of ranges are sorted once.

test_each_range_is_looked_at_once_for_all_trials counts the sums.

--- a/packages/ownership/peridot_ownership/trials.py
+++ b/packages/ownership/peridot_ownership/trials.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Collection, Iterator
 from dataclasses import dataclass
+from heapq import heapify, heappop, heappush
 
 from peridot_ownership.loads import LoadProfile
 from peridot_ownership.planner import RangeMove
@@ -75,34 +76,41 @@
     targets = len(plan.usable) + len(plan.failing)
     tried = len(plan.failing.keys() & set(plan.destinations))
     limit = max(MIN_TRIAL_LIMIT, targets // TARGETS_PER_TRIAL) - tried
-    moves: list[RangeMove] = []
-    for name in due[: max(0, limit)]:
-        found = _find_range(plan, [*plan.moving, *(move.keys for move in moves)])
-        if found is None:
-            break
-        owner, keys = found
-        moves.append(RangeMove(keys, owner, name, "trial"))
-    return moves
+    chosen = due[: max(0, limit)]
+    ranges = _find_ranges(plan) if chosen else iter(())
+    return [
+        RangeMove(keys, owner, name, "trial")
+        for name, (owner, keys) in zip(chosen, ranges, strict=False)
+    ]
 
 
-def _find_range(
-    plan: TrialInput, taken: Collection[KeyRange]
-) -> tuple[str | None, KeyRange] | None:
-    """Return the owner and the keys of a range for a trial, or None.
+def _find_ranges(plan: TrialInput) -> Iterator[tuple[str | None, KeyRange]]:
+    """Yield owners and separate ranges for trials.
 
     Keys without a usable owner come first, then those with the least load.
     """
-    candidates = (
-        (item.owner, keys)
-        for item in plan.table.ranges
-        for part in item.keys.minus(taken)
-        for keys in _ends(part)
-    )
-    return min(
-        candidates,
-        key=lambda item: (item[0] in plan.usable, plan.profile.load(item[1])),
-        default=None,
-    )
+    # Sorted once for all trials: a service may have thousands of ranges.
+    heap = [
+        _rank(plan, item.owner, part, index)
+        for index, item in enumerate(plan.table.ranges)
+        for part in item.keys.minus(plan.moving)
+    ]
+    heapify(heap)
+    while heap:
+        *_, index, keys, part = heappop(heap)
+        owner = plan.table.ranges[index].owner
+        yield owner, keys
+        for rest in part.minus([keys]):
+            heappush(heap, _rank(plan, owner, rest, index))
+
+
+def _rank(
+    plan: TrialInput, owner: str | None, part: KeyRange, index: int
+) -> tuple[bool, float, int, int, KeyRange, KeyRange]:
+    """Return the order of the better end of a part of a range, and both."""
+    keys = min(_ends(part), key=plan.profile.load)
+    load = plan.profile.load(keys)
+    return owner in plan.usable, load, keys.start, index, keys, part
 
 
 def _ends(keys: KeyRange) -> Iterator[KeyRange]:
--- a/packages/ownership/tests/test_trials.py
+++ b/packages/ownership/tests/test_trials.py
@@ -1,13 +1,16 @@
 """Tests of trials: which targets that failed get a small range, and when."""
 
+from itertools import pairwise
+
 import pytest
 
 from peridot_ownership.loads import KeyLoads
-from peridot_ownership.ranges import KeyRange, RangeTable
+from peridot_ownership.ranges import KeyRange, OwnedRange, RangeTable
 from peridot_ownership.trials import (
     FORGET_AFTER_S,
     MAX_TRIAL_DELAY_S,
     MIN_TRIAL_DELAY_S,
+    TARGETS_PER_TRIAL,
     TRIAL_KEYS,
     FailureHistory,
     TrialInput,
@@ -62,6 +65,31 @@
     assert len(plan_trials(make_input(table, "ab", names), 9.0)) == 8
 
 
+# Guards against a placer that stands still when a whole service of thousands of targets
+# failed at once.
+def test_each_range_is_looked_at_once_for_all_trials():
+    class CountingProfile:
+        loads = 0
+
+        def load(self, keys):
+            self.loads += 1
+            return 1.0
+
+    table = RangeTable()
+    width, count = 128, 512
+    table.ranges = [
+        OwnedRange(KeyRange(n * width, (n + 1) * width), f"t{n}", n)
+        for n in range(count)
+    ]
+    failing = {f"u{n}": FailureHistory(last_failed_at=0.0) for n in range(count)}
+    profile = CountingProfile()
+    moves = plan_trials(TrialInput(table, profile, (), failing, (), ()), 9.0)
+    assert len(moves) == count // TARGETS_PER_TRIAL
+    starts = sorted(move.keys.start for move in moves)
+    assert all(b - a >= TRIAL_KEYS for a, b in pairwise(starts))
+    assert profile.loads < 5 * count
+
+
 def test_trials_become_rare_while_a_target_fails_again():
     history = FailureHistory()
     delays = []
