Bound the weight of counts after a long time without requests

A VM that became the placer again 20 minutes after its last term raised OverflowError in the first plan, which ended the term, and each later one.

test_counts_from_an_earlier_term_long_ago_are_dropped fails without the change.

--- a/packages/ownership/peridot_ownership/loads.py
+++ b/packages/ownership/peridot_ownership/loads.py
@@ -18,6 +18,8 @@
 MIN_RATE = 0.01
 # Weights are rescaled above this, before they lose precision.
 MAX_WEIGHT = 1e12
+# After this time without requests nothing is left of the counts.
+MAX_HALF_LIVES = 1_000
 # This share of the measured load is added and spread evenly over all keys, so that
 # ranges without requests count by their width.
 IDLE_SHARE = 0.05
@@ -110,7 +112,9 @@
         """Return the weight of one request that arrives now (s)."""
         if self.reference_time is None:
             self.reference_time = now
-        weight = 2.0 ** ((now - self.reference_time) / HALF_LIFE_S)
+        half_lives = (now - self.reference_time) / HALF_LIFE_S
+        # Without the bound, the power overflows 20 minutes after the last request.
+        weight = 2.0 ** min(half_lives, MAX_HALF_LIVES)
         if weight > MAX_WEIGHT:
             self.weights = {key: value / weight for key, value in self.weights.items()}
             self.reference_time = now
