Drop processing times and key counts that can't be true

A mean processing time that was infinite or not a number made the capacity of a target 0 or not a number, which ended the placer's term in the next plan. Lists of keys and counts of different lengths ended the member's link and lost the rest of its report.

The two new tests of test_fleetwork.py fail without the change.

--- a/packages/gateway/peridot_gateway/coldtargets.py
+++ b/packages/gateway/peridot_gateway/coldtargets.py
@@ -307,7 +307,8 @@
         member.zone, member.reported_at = report.data_centre, now
         for item in report.keys:
             if item.service in self.cold_services:
-                counts = dict(zip(item.keys, item.counts, strict=True))
+                # FleetLoad logs lists of different lengths.
+                counts = dict(zip(item.keys, item.counts, strict=False))
                 member.keys.setdefault(item.service, Counter()).update(counts)
         for item in report.targets:
             if item.cold_left_ms:
--- a/packages/gateway/peridot_gateway/fleetload.py
+++ b/packages/gateway/peridot_gateway/fleetload.py
@@ -20,6 +20,9 @@
 
 # Weight of one report's mean processing time in the moving average.
 PROCESSING_TIME_WEIGHT = 0.3
+# Bounds of a mean processing time (s); others would make capacities 0 or infinite.
+MIN_PROCESSING_S = 1e-6
+MAX_PROCESSING_S = 3_600.0
 
 
 @dataclass
@@ -87,13 +90,16 @@
         if self.cold is not None:
             self.cold.record_report(report)
         for counts in report.keys:
+            if len(counts.keys) != len(counts.counts):
+                self.work.drop(report.vm, "keys", counts.service, len(counts.keys), now)
+                continue
             weights = self.work.weigh_keys(counts, report.vm, now)
             pairs = zip(counts.keys, weights, strict=True)
             self.loads_of(counts.service).add(pairs, now)
         self.shares.record(report, now)
         for item in report.targets:
             if item.busy_count:
-                self._record_processing_time(item)
+                self._record_processing_time(report.vm, item, now)
             if item.leaving:
                 self.targets.announce_leaving(item.target, item.started_ms)
         self.work.record_report(report, now)
@@ -101,8 +107,13 @@
             item.target: item.in_flight for item in report.targets if item.in_flight
         }
 
-    def _record_processing_time(self, item: pb.TargetReport) -> None:
+    def _record_processing_time(
+        self, vm: str, item: pb.TargetReport, now: float
+    ) -> None:
         sample = item.busy_ms / item.busy_count / 1000
+        if not MIN_PROCESSING_S <= sample <= MAX_PROCESSING_S:
+            self.work.drop(vm, "processing_time", item.target, sample, now)
+            return
         previous = self.processing_times.get(item.target, sample)
         weight = min(1.0, PROCESSING_TIME_WEIGHT * item.busy_count)
         self.processing_times[item.target] = previous + weight * (sample - previous)
--- a/packages/gateway/peridot_gateway/fleetwork.py
+++ b/packages/gateway/peridot_gateway/fleetwork.py
@@ -76,7 +76,7 @@
         for item in report.targets:
             work_s = item.in_flight_work_ms / 1000
             if not isfinite(work_s) or not 0 <= work_s <= MAX_IN_FLIGHT_WORK_S:
-                self._drop(report.vm, "in_flight_work", item.target, work_s, now)
+                self.drop(report.vm, "in_flight_work", item.target, work_s, now)
             elif work_s and item.in_flight:
                 in_flight_s[item.target] = work_s
             if item.speed_count:
@@ -84,13 +84,13 @@
                 if not self.speeds.merge_report(
                     item.target, speed, item.speed_count, now
                 ):
-                    self._drop(report.vm, "speed", item.target, speed, now)
+                    self.drop(report.vm, "speed", item.target, speed, now)
         self.in_flight_s[report.vm] = in_flight_s
         for item in report.routes:
             if item.work_count and not self.costs.merge_report(
                 item.service, item.route, item.work_ms / 1000, item.work_count, now
             ):
-                self._drop(report.vm, "cost", item.route, item.work_ms, now)
+                self.drop(report.vm, "cost", item.route, item.work_ms, now)
 
     def weigh_keys(self, counts: pb.KeyCounts, vm: str, now: float) -> list[float]:
         """Return the requests by key as numbers of requests with mean work."""
@@ -104,7 +104,7 @@
         ):
             work_s = work_ms / 1000
             if not 0 < work_s <= MAX_WORK_S * count:
-                self._drop(vm, "key_work", key, work_s, now)
+                self.drop(vm, "key_work", key, work_s, now)
                 weights.append(float(count))
                 continue
             if before_s is not None:
@@ -160,9 +160,10 @@
             if cost_s is not None:
                 yield service, route, cost_s
 
-    def _drop(
+    def drop(
         self, vm: str, figure: str, name: object, value: float, now: float
     ) -> None:
+        """Count and log a figure of a VM that can't be true."""
         self.dropped += 1
         if self.log is not None and now >= self.logged_at + DROPPED_LOG_S:
             self.logged_at = now
--- a/packages/gateway/tests/test_fleetwork.py
+++ b/packages/gateway/tests/test_fleetwork.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from peridot_gateway.coldtargets import ColdTargets
 from peridot_gateway.estimates import Estimates
 from peridot_gateway.fleetload import FleetLoad
 from peridot_gateway.fleetwork import add_work_report, apply_work_state
@@ -14,7 +15,7 @@
 from peridot_ownership.planner import PlanInput, plan_moves
 from peridot_ownership.ranges import KEY_SPACE, KeyRange, RangeTable
 from peridot_placement.decisions import MemoryDecisionLog
-from peridot_resources.configuration import Route, TargetInstance
+from peridot_resources.configuration import Route, ServiceConfiguration, TargetInstance
 from peridot_wire import peridot_pb2 as pb
 
 SLOTS = 3
@@ -199,6 +200,34 @@
     assert load.loads_of("s").profile(5.0).keys == [1]
 
 
+@pytest.mark.parametrize("busy_ms", (nan, inf, -5.0, 0.0, 1e300))
+def test_a_processing_time_that_cannot_be_true_is_dropped(busy_ms):
+    """Guards against capacities of 0 or not a number, which end the placer's term."""
+    load = make_load()
+    for vm, value in (("good", 300.0), ("bad", busy_ms)):
+        report = pb.FleetReport(vm=vm)
+        report.targets.add(target="t", busy_ms=value, busy_count=3)
+        load.record_report(report)
+    assert load.processing_s("t") == pytest.approx(0.1)
+    assert load.work.dropped == 1
+
+
+def test_key_counts_of_different_lengths_are_dropped():
+    """Guards against a report whose other figures are lost, as well as the link."""
+    load = make_load()
+    services = {"s": ServiceConfiguration("s", True, 100, 1.0, 8.0, 4.5)}
+    source = SimpleNamespace(configuration=SimpleNamespace(services=services))
+    load.cold = ColdTargets("v", source, load.targets, load.work.log)
+    load.cold.set_limits(1.5, 8.0)
+    load.cold.cold_services = {"s"}
+    report = pb.FleetReport(vm="bad")
+    report.keys.add(service="s", keys=[1, 2], counts=[1])
+    report.targets.add(target="t", in_flight=3)
+    load.record_report(report)
+    assert load.in_flight["bad"] == {"t": 3}
+    assert load.work.dropped == 1
+
+
 def test_the_work_of_a_vm_that_left_is_dropped():
     """Guards against targets that look busy with requests of a VM that is gone."""
     load = make_load()
