Count only responses as the return of an unreachable target

A request that ended without a response counted as one, so that the time for which a target may be cold began before it had started again.

test_a_target_that_stays_silent_has_not_returned fails without the change.

--- a/packages/gateway/peridot_gateway/coldtargets.py
+++ b/packages/gateway/peridot_gateway/coldtargets.py
@@ -13,7 +13,7 @@
 from peridot_placement.decisions import DecisionLog
 from peridot_placement.signals import ChangeSignal
 from peridot_resources.configuration import ServiceConfiguration, TargetInstance
-from peridot_routing.outcomes import NotRun, Outcome, Reason
+from peridot_routing.outcomes import Answered, NotRun, Outcome, Reason
 from peridot_scheduling.cold_starts import (
     ALONE_SHARE,
     ASSIGNMENT_S,
@@ -41,6 +41,9 @@
 # Without a placer the list of VMs doesn't change; the check takes a hash for each.
 ALONE_CHECK_PERIOD_S = 1.0
 UNREACHED_REASONS = frozenset((Reason.CONNECTION_REFUSED, Reason.TARGET_LOST))
+# Outcomes other than answers for which the target has responded. A request that ends
+# without a response says nothing: the target may be silent.
+RESPONSE_REASONS = frozenset((Reason.NOT_OWNER, Reason.SHED, Reason.TORN_ANSWER))
 
 
 @dataclass
@@ -173,7 +176,7 @@
         now = self.clock()
         if isinstance(outcome, NotRun) and outcome.reason in UNREACHED_REASONS:
             self.times.record_failure(target.name, now)
-        else:
+        elif isinstance(outcome, Answered) or outcome.reason in RESPONSE_REASONS:
             self.times.record_response(target.name, now)
         if now >= self.state_at + ASSIGNMENT_S:
             # No placer collects what the VMs saw.
--- a/packages/gateway/tests/test_coldtargets.py
+++ b/packages/gateway/tests/test_coldtargets.py
@@ -13,7 +13,7 @@
 from peridot_ownership.ranges import RangeTable
 from peridot_placement.decisions import MemoryDecisionLog
 from peridot_resources.configuration import ServiceConfiguration, TargetInstance
-from peridot_routing.outcomes import NotRun, Reason
+from peridot_routing.outcomes import Answered, NotRun, Reason, Unknown
 from peridot_wire import peridot_pb2 as pb
 
 RATE, FACTOR, SLACK, COLD_S = 4.5, 1.5, 8.0, 8.0
@@ -263,6 +263,24 @@
         assert all(is_cold) if len(reporters) > 1 else not any(is_cold)
 
 
+@pytest.mark.parametrize("reason", [Reason.DEADLINE, Reason.CONNECTION_LOST])
+def test_a_target_that_stays_silent_has_not_returned(reason):
+    """Guards against a time that ends before the target responds for the first time."""
+    fleet = Fleet(8, True, 5.0)
+    vm = fleet.vms["v1"]
+    for _ in range(3):
+        vm.record_outcome(TARGET, NotRun(Reason.CONNECTION_REFUSED))
+        fleet.now += 0.4
+    vm.record_outcome(TARGET, Unknown(reason))
+    fleet.now += 0.5
+    (report,) = vm.build_reports()
+    assert report.cold_left_ms > 1000 * COLD_S
+    vm.record_outcome(TARGET, Answered(200, (), b"", "t"))
+    fleet.now += 1.0
+    (report,) = vm.build_reports()
+    assert report.cold_left_ms < 1000 * COLD_S
+
+
 def test_a_zone_that_returns_is_cold():
     """Guards against full load on targets that turned cold during an evacuation."""
     fleet = Fleet(8, True, 5.0)
