Forget what the limit of cold targets kept of targets and VMs that left

Requests that waited by VM, reports by target, and allowances of targets that were removed before they were known to be cold were kept for ever.

test_nothing_is_kept_of_targets_and_vms_that_left fails without the change.

--- a/packages/gateway/peridot_gateway/coldtargets.py
+++ b/packages/gateway/peridot_gateway/coldtargets.py
@@ -207,8 +207,9 @@
                 self.log.write("target_warm", target=name)
         names = self.targets.targets.keys()
         self.times.remove_all_except(names)
-        for name in self.entries.keys() - names:
-            del self.entries[name]
+        for by_target in (self.entries, self.allowances, self.alone, self.reporters):
+            for name in by_target.keys() - names:
+                del by_target[name]
 
     def count_cold(self) -> int:
         """Return how many targets are cold."""
@@ -304,7 +305,7 @@
             return
         now = self.clock()
         if report.leaving:
-            self.members.pop(report.vm, None)
+            self.remove_vm(report.vm)
             return
         member = self.members.setdefault(report.vm, _Member(report.data_centre, now))
         member.zone, member.reported_at = report.data_centre, now
@@ -325,6 +326,7 @@
     def remove_vm(self, vm: str) -> None:
         """Forget a VM that left."""
         self.members.pop(vm, None)
+        self.allotment.remove_vm(vm)
 
     def build_shares(
         self, vm: str, term: int, tables: Mapping[str, RangeTable]
--- a/packages/gateway/tests/test_coldtargets.py
+++ b/packages/gateway/tests/test_coldtargets.py
@@ -14,6 +14,7 @@
 from peridot_placement.decisions import MemoryDecisionLog
 from peridot_resources.configuration import ServiceConfiguration, TargetInstance
 from peridot_routing.outcomes import Answered, NotRun, Reason, Unknown
+from peridot_scheduling.cold_starts import Allowance
 from peridot_wire import peridot_pb2 as pb
 
 RATE, FACTOR, SLACK, COLD_S = 4.5, 1.5, 8.0, 8.0
@@ -281,6 +282,26 @@
     assert report.cold_left_ms < 1000 * COLD_S
 
 
+def test_nothing_is_kept_of_targets_and_vms_that_left():
+    """Guards against a placer that grows while targets and VMs come and go."""
+    fleet = Fleet(8, True, 30.0)
+    fleet.run(TERM_DELAY_S + 1.0)
+    fleet.turn_cold()
+    fleet.run(1.0)
+    fleet.vms["v1"].record_outcome(TARGET, NotRun(Reason.CONNECTION_REFUSED))
+    placer = fleet.vms["v0"]
+    placer.reporters["t"], placer.alone["t"] = {"v1": fleet.now}, (fleet.now, True)
+    placer.allowances["t"] = Allowance()
+    assert placer.allotment.demand and placer.members and placer.entries
+    for vm in fleet.vms:
+        placer.remove_vm(vm)
+    placer.targets.targets.clear()
+    placer.update()
+    assert not placer.allotment.demand and not placer.members
+    assert not placer.entries and not placer.times.targets
+    assert not placer.allowances and not placer.alone and not placer.reporters
+
+
 def test_a_zone_that_returns_is_cold():
     """Guards against full load on targets that turned cold during an evacuation."""
     fleet = Fleet(8, True, 5.0)
--- a/packages/scheduling/peridot_scheduling/cold_starts.py
+++ b/packages/scheduling/peridot_scheduling/cold_starts.py
@@ -354,6 +354,10 @@
         self.demand[vm][target] = waiting - 1, self.demand[vm][target][1]
         return True
 
+    def remove_vm(self, vm: str) -> None:
+        """Forget the requests that waited at a VM that left."""
+        self.demand.pop(vm, None)
+
     def remove_all_except(self, names: Iterable[str]) -> None:
         """Forget targets that aren't cold."""
         for name in self.targets.keys() - set(names):
