--- a/packages/gateway/peridot_gateway/fleetload.py
+++ b/packages/gateway/peridot_gateway/fleetload.py
@@ -133,6 +133,8 @@
             ((name, [item.name for item in items]) for name, items in services), now
         )
         names = list(self.targets.targets)
+        for name in self.processing_times.keys() - self.targets.targets.keys():
+            del self.processing_times[name]
         speeds = ((name, self.work.speeds.current(name, now)) for name in names)
         estimates.set_shared(
             self.work.totals_s(),
--- a/packages/gateway/peridot_gateway/fleetwork.py
+++ b/packages/gateway/peridot_gateway/fleetwork.py
@@ -123,11 +123,15 @@
         return mean.mean_s / speed
 
     def centre(self, targets_by_service: Iterable[tuple[str, list[str]]], now: float):
-        """Keep the mean speed of each service's targets near 1."""
+        """Keep the mean speed of each service's targets near 1; forget other targets."""
+        present: set[str] = set()
         for service, names in targets_by_service:
+            present.update(names)
             self.speeds.centre(service, names, now)
             for name in names:
                 self._log_speed(service, name, now)
+        self.speeds.remove_all_except(present)
+        self.slow &= present
         self.costs.remove_old(now)
 
     def _log_speed(self, service: str, target: str, now: float) -> None:
--- a/packages/gateway/tests/test_fleetwork.py
+++ b/packages/gateway/tests/test_fleetwork.py
@@ -239,6 +239,21 @@
     assert load.work.totals_s() == {"t": 0.2}
 
 
+def test_figures_of_targets_that_left_are_dropped():
+    """Guards against a placer that grows while targets come and go."""
+    load = make_load()
+    report = pb.FleetReport(vm="v1")
+    for name in ("t", "left"):
+        report.targets.add(
+            target=name, speed_permille=300, speed_count=9, busy_ms=90, busy_count=1
+        )
+    load.record_report(report)
+    load.work.slow.add("left")
+    load.share_work(Estimates(clock=lambda: 5.0))
+    assert load.work.speeds.targets.keys() == {"t"}
+    assert load.processing_times.keys() == {"t"} and load.work.slow == {"t"}
+
+
 def test_work_of_other_vms_counts_until_the_figures_are_old():
     """Guards against a VM without a placer that believes old figures."""
     now = [10.0]
