Count no targets of evacuated zones as capacity of routes

The shares of routes were computed with the slots of evacuated zones, so that too many requests were admitted to the other zones.

test_targets_of_evacuated_zones_are_no_capacity fails without the change.

--- a/packages/gateway/peridot_gateway/fleetload.py
+++ b/packages/gateway/peridot_gateway/fleetload.py
@@ -44,7 +44,7 @@
     def __post_init__(self) -> None:
         self.shares = FleetShares(
             lambda: self.configuration.configuration,
-            self.targets_of,
+            self._serving_targets_of,
             self.processing_s,
             lambda service, route: self.work.costs.learned_s(
                 service, route, self.clock()
@@ -59,6 +59,13 @@
     def targets_of(self, service: str) -> list[TargetInstance]:
         return self.targets.of_service(service)
 
+    def _serving_targets_of(self, service: str) -> list[TargetInstance]:
+        """Return the targets of a service that aren't in evacuated zones."""
+        targets = self.targets_of(service)
+        if self.evacuations is None:
+            return targets
+        return [t for t in targets if not self.evacuations.is_evacuated(t)]
+
     def is_address_reused(self, target: TargetInstance) -> bool:
         return self.targets.is_address_reused(target)
 
--- a/packages/gateway/tests/test_fleetwork.py
+++ b/packages/gateway/tests/test_fleetwork.py
@@ -254,6 +254,16 @@
     assert load.processing_times.keys() == {"t"} and load.work.slow == {"t"}
 
 
+def test_targets_of_evacuated_zones_are_no_capacity():
+    """Guards against shares of routes for slots that get no requests."""
+    load = make_load()
+    load.targets.of_service = load.targets.by_service.get
+    load.evacuations = SimpleNamespace(is_evacuated=lambda target: True)
+    assert list(load.shares.targets_of("s")) == []
+    load.evacuations = SimpleNamespace(is_evacuated=lambda target: False)
+    assert len(load.shares.targets_of("s")) == 1
+
+
 def test_work_of_other_vms_counts_until_the_figures_are_old():
     """Guards against a VM without a placer that believes old figures."""
     now = [10.0]
