Sum a service's targets once for the shares of its routes

Until costs were learned, the processing times of all targets were summed for each route, ten times a second.

test_the_targets_of_a_service_are_summed_once_for_all_routes fails without the change.

--- a/packages/gateway/peridot_gateway/fleetshares.py
+++ b/packages/gateway/peridot_gateway/fleetshares.py
@@ -86,11 +86,13 @@
             del self.services[service]
         for service, levels in self.services.items():
             targets = [t for t in self.targets_of(service) if not t.leaving]
+            mean_s = self.mean_work_s(targets)
             plans = {
                 route.name: RoutePlan(
                     route.priority,
                     self.find_cost_s(service, route.name)
-                    or self.expected_work_s(route, targets),
+                    or mean_s
+                    or INITIAL_WORK_SHARE * route.latency_objective_s,
                 )
                 for route in shared[service]
                 if route.name in levels.routes
@@ -132,11 +134,11 @@
             }
         return self.shared
 
-    def expected_work_s(self, route: Route, targets: list[TargetInstance]) -> float:
-        """Return the expected work of a request of a route (s of a slot).
+    def mean_work_s(self, targets: list[TargetInstance]) -> float | None:
+        """Return the mean processing time of a service's targets (s), if known.
 
-        Until work is measured by route, it is the mean processing time of the
-        service's targets, weighted by how many requests each can serve.
+        It is weighted by how many requests each target can serve, and is the work of
+        a request until work is measured by route.
         """
         slots = rate = 0.0
         for target in targets:
@@ -144,7 +146,7 @@
             if processing_s is not None and processing_s > 0:
                 slots += target.slots
                 rate += target.slots / processing_s
-        return slots / rate if rate else INITIAL_WORK_SHARE * route.latency_objective_s
+        return slots / rate if rate else None
 
     def _log_changes(
         self, service: str, levels: ServiceLevels, shares: dict[str, float], now: float
--- a/packages/gateway/tests/test_sharing.py
+++ b/packages/gateway/tests/test_sharing.py
@@ -194,6 +194,14 @@
     assert any("shares_changed" in line for line in fleet_shares.log.lines)
 
 
+def test_the_targets_of_a_service_are_summed_once_for_all_routes(fleet_shares):
+    """Guards against work by routes times targets in each computation."""
+    calls = []
+    fleet_shares.processing_s = lambda target: calls.append(target) or 0.1
+    report_overload(fleet_shares, 0.25)
+    assert calls == ["t"]
+
+
 def test_a_new_term_counts_anew(fleet_shares):
     """Guards against rates over the time in which another VM was the placer."""
     now = report_overload(fleet_shares) + 60.0
