Look up a request's share without a pass over all shares

Whether a service is overloaded, and after each change the rooms of its routes, were found by a pass over the shares of all services with each request. Both are indexed when shares arrive.

test_requests_do_not_look_at_all_shares fails without the change.

--- a/packages/gateway/peridot_gateway/sharing.py
+++ b/packages/gateway/peridot_gateway/sharing.py
@@ -57,6 +57,9 @@
     # Shares by service and route as the placer sent them, and when (s).
     shares: dict[tuple[str, str], float] = field(default_factory=dict)
     updated_at: float = float("-inf")
+    # The routes with shares by service, and the services that can't serve all requests.
+    active: dict[str, list[str]] = field(default_factory=dict)
+    overloaded: set[str] = field(default_factory=set)
     gates: dict[tuple[str, str], ShareGate] = field(default_factory=dict)
     floors: dict[str, FloorGuard] = field(default_factory=dict)
     # Since the last report, by service and route.
@@ -92,6 +95,10 @@
         """Replace the shares by service and route."""
         if shares.keys() != self.shares.keys():
             self.rooms.clear()
+            self.active = {}
+            for service, route in shares:
+                self.active.setdefault(service, []).append(route)
+        self.overloaded = {name for (name, _), share in shares.items() if share < 1.0}
         self.shares = shares
         self.updated_at = self.clock()
 
@@ -133,9 +140,7 @@
 
     def is_overloaded(self, service: str) -> bool:
         """Return whether a service can't serve all requests, by the placer's shares."""
-        return self.is_current() and any(
-            share < 1.0 for (name, _), share in self.shares.items() if name == service
-        )
+        return service in self.overloaded and self.is_current()
 
     def is_current(self) -> bool:
         """Return whether the placer's figures are recent."""
@@ -211,7 +216,7 @@
         """Return the rooms of a service's routes that have shares."""
         routes = self._find_routes(service)
         if service not in self.rooms:
-            names = [route for name, route in self.shares if name == service]
+            names = self.active.get(service, ())
             active = [routes[name] for name in names if name in routes]
             self.rooms[service] = plan_rooms(
                 {route.name: route.priority for route in active},
--- a/packages/gateway/tests/test_sharing.py
+++ b/packages/gateway/tests/test_sharing.py
@@ -124,6 +124,35 @@
     assert not sharing.is_overloaded("files")
 
 
+class CountingShares(dict):
+    """Shares that count how often all of them are looked at."""
+
+    passes = 0
+
+    def __iter__(self):
+        self.passes += 1
+        return super().__iter__()
+
+    def items(self):
+        self.passes += 1
+        return super().items()
+
+
+def test_requests_do_not_look_at_all_shares(make_sharing, make_request):
+    """Guards against a processor time per request that grows with the routes."""
+    sharing = make_sharing(0, -1)
+    shares = CountingShares({KEY: 0.5, ("files", "r0"): 1.0})
+    sharing.apply(shares)
+    passes = shares.passes
+    for name in ("r0", "r1"):
+        sharing.admit(make_request(name=name))
+        assert sharing.find_room(make_request(name=name)) is not None
+        assert sharing.is_overloaded("files")
+    assert shares.passes == passes
+    sharing.apply({KEY: 1.0, ("files", "r0"): 1.0})
+    assert not sharing.is_overloaded("files")
+
+
 def test_shares_beyond_all_are_bounded_and_unstated_ones_are_skipped(make_sharing):
     sharing = make_sharing(0, -1)
     log = sharing.log = MemoryDecisionLog()
