Age the counts of a service's routes without a pass over them

Each request multiplied the counts of all routes of its service, of which a configuration may have 1,400. Newer requests weigh more instead.

test_a_request_needs_no_pass_over_all_routes fails without the change.

--- a/packages/scheduling/peridot_scheduling/queueing.py
+++ b/packages/scheduling/peridot_scheduling/queueing.py
@@ -27,6 +27,8 @@
 HONOURED_SHARE = 1 / 3
 # Served and arrived requests of this VM are counted over this time.
 FLOOR_AVERAGING_S = 10.0
+# Counts are rescaled when a request weighs more than e to this power.
+MAX_WEIGHT_LOG = 20.0
 # A route that is served this much less often than all of its service is starved.
 STARVED_SHARE = 0.25
 # A route isn't starved before this many requests were counted.
@@ -148,32 +150,48 @@
     Targets that are full of urgent requests would otherwise serve no others.
     """
 
+    # Counts by route in units of a request at the reference time; newer ones weigh
+    # more. The sums are kept, so that a request needs no pass over all routes.
     arrived: dict[str, float] = field(default_factory=dict)
     refused: dict[str, float] = field(default_factory=dict)
-    updated_at: float = 0.0
+    total_arrived: float = 0.0
+    total_refused: float = 0.0
+    reference_time: float = 0.0
+    # Weight of a request at the last update.
+    weight: float = 1.0
 
     def record_arrival(self, route: str, now: float) -> None:
         """Count a request."""
-        self._age(now)
-        self.arrived[route] = self.arrived.get(route, 0.0) + 1
+        self._update_weight(now)
+        self.arrived[route] = self.arrived.get(route, 0.0) + self.weight
+        self.total_arrived += self.weight
 
     def record_refusal(self, route: str, now: float) -> None:
         """Count a request that was refused."""
-        self._age(now)
-        self.refused[route] = self.refused.get(route, 0.0) + 1
+        self._update_weight(now)
+        self.refused[route] = self.refused.get(route, 0.0) + self.weight
+        self.total_refused += self.weight
 
     def is_starved(self, route: str) -> bool:
         """Return whether a route is served far less often than all of the service."""
         arrived = self.arrived.get(route, 0.0)
-        if arrived < MIN_FLOOR_SAMPLES:
+        if arrived < MIN_FLOOR_SAMPLES * self.weight:
             return False
         served = 1 - self.refused.get(route, 0.0) / arrived
-        overall = 1 - sum(self.refused.values()) / sum(self.arrived.values())
+        overall = 1 - self.total_refused / self.total_arrived
         return served < STARVED_SHARE * overall
 
-    def _age(self, now: float) -> None:
-        factor = exp(-max(0.0, now - self.updated_at) / FLOOR_AVERAGING_S)
-        self.updated_at = now
+    def _update_weight(self, now: float) -> None:
+        age = max(0.0, now - self.reference_time) / FLOOR_AVERAGING_S
+        self.weight = exp(min(age, MAX_WEIGHT_LOG + 1))
+        if age > MAX_WEIGHT_LOG:
+            self._rescale(now)
+
+    def _rescale(self, now: float) -> None:
+        """Take a new reference time, before counts lose precision."""
         for counts in (self.arrived, self.refused):
             for name in counts:
-                counts[name] *= factor
+                counts[name] /= self.weight
+        self.total_arrived = sum(self.arrived.values())
+        self.total_refused = sum(self.refused.values())
+        self.reference_time, self.weight = now, 1.0
