Return the allowance of a cold target that a refused request took

A request took a permit or a token when its target was chosen, and lost it if the target was full, its retry budget spent or its lease changed. Requests that waited could have used it.

test_the_allowance_of_a_request_that_is_refused_is_given_back and test_what_a_request_took_that_is_not_sent_is_there_for_another fail without the change.

--- a/packages/gateway/peridot_gateway/coldtargets.py
+++ b/packages/gateway/peridot_gateway/coldtargets.py
@@ -156,6 +156,14 @@
             return self.allowances[target.name].take(now)
         return True
 
+    def give_back(self, target: TargetInstance) -> None:
+        """Return the allowance that was just taken for a request that isn't sent."""
+        allowance = self.allowances.get(target.name)
+        limited = self.find_limits(target.service) is not None
+        if allowance and limited and self._is_limited(target, self.clock()):
+            allowance.give_back()
+            self.changed.notify()
+
     def request_report(self) -> None:
         """Report soon to the placer: a request waits for a permit."""
         self.report_requested = True
--- a/packages/gateway/peridot_gateway/router.py
+++ b/packages/gateway/peridot_gateway/router.py
@@ -103,13 +103,11 @@
             target = await self._choose_target(request)
             if isinstance(target, NotRun):
                 return self._finalize(request, last or target)
-            refusal = self.parts.admission.check(request, target)
-            if refusal is not None:
-                return self._finalize(request, last or refusal)
-            if last is not None and self._has_changed_lease(request, target):
-                return self._finalize(request, last)
-            if request.delivery_count and not budget.try_spend():
-                return self._finalize(request, last or NotRun(Reason.OVERLOADED))
+            final = self._check_attempt(request, target, last, budget)
+            if final is not None:
+                if self.parts.cold is not None:
+                    self.parts.cold.give_back(target)
+                return self._finalize(request, final)
             self.retries += bool(request.delivery_count)
             result = await self._attempt(request, target)
             last = result.outcome
@@ -117,6 +115,23 @@
                 return self._finalize(request, last)
             await self._wait_before_retry(request, target, last)
 
+    def _check_attempt(
+        self,
+        request: GatewayRequest,
+        target: TargetInstance,
+        last: Outcome | None,
+        budget: RetryBudget,
+    ) -> Outcome | None:
+        """Return the final outcome of a request that may not be sent, else None."""
+        refusal = self.parts.admission.check(request, target)
+        if refusal is not None:
+            return last or refusal
+        if last is not None and self._has_changed_lease(request, target):
+            return last
+        if request.delivery_count and not budget.try_spend():
+            return last or NotRun(Reason.OVERLOADED)
+        return None
+
     def _has_changed_lease(
         self, request: GatewayRequest, target: TargetInstance
     ) -> bool:
@@ -210,9 +225,12 @@
             )
             if target is not None and not self._is_unusable_owner(target.name):
                 pause_s = self.parts.estimates.pause_remaining_s(target.name)
-                if not pause_s and not self._is_held_back(target, draw):
-                    return self._check_owner(request, target)
                 if not pause_s:
+                    checked = self._check_owner(request, target)
+                    if isinstance(checked, NotRun) or self._take_allowance(
+                        target, draw
+                    ):
+                        return checked
                     left_s = wait_deadline - asyncio.get_running_loop().time()
                     if left_s <= 0:
                         return self._refuse_for_cold_owner()
@@ -243,9 +261,9 @@
         retry_ms = int(1000 * (pause_s + spread_s))
         return NotRun(Reason.OVERLOADED, retry_ms, f"paused for {pause_s:.2f}")
 
-    def _is_held_back(self, target: TargetInstance, draw: float) -> bool:
-        """Return whether a cold owner bears no more; take the allowance otherwise."""
-        return self.parts.cold is not None and not self.parts.cold.take(target, draw)
+    def _take_allowance(self, target: TargetInstance, draw: float) -> bool:
+        """Take a request's allowance of an owner; return whether it may be sent."""
+        return self.parts.cold is None or self.parts.cold.take(target, draw)
 
     def _refuse_for_cold_owner(self) -> NotRun:
         self.parts.cold.refused += 1
--- a/packages/gateway/tests/test_evacuations.py
+++ b/packages/gateway/tests/test_evacuations.py
@@ -189,3 +189,24 @@
     assert isinstance(outcomes[0], Answered) and sender.sent == ["p"]
     assert isinstance(outcomes[1], NotRun) and outcomes[1].retry_after_ms
     assert cold.refused == (key is not None)
+
+
+@pytest.mark.parametrize("key", [None, 5])
+def test_the_allowance_of_a_request_that_is_refused_is_given_back(
+    key, route_with, make_request, owned_by
+):
+    """Guards against permits of cold targets that full targets' requests use up."""
+    owners = owned_by("p") if key is not None else None
+    router, sender = route_with([None], owners=owners)
+    taken, given_back = [], []
+    cold = SimpleNamespace(
+        may_send=lambda target, draw: True,
+        take=lambda target, draw: taken.append(target.name) or True,
+        give_back=lambda target: given_back.append(target.name),
+    )
+    router.parts.cold = router.parts.picker.cold = cold
+    for name in router.parts.targets.targets:
+        router.parts.estimates.get(name).concurrency_limit = 0
+    outcome = asyncio.run(router.handle(make_request(key=key)))
+    assert isinstance(outcome, NotRun) and outcome.detail == "full"
+    assert sender.sent == [] and len(taken) == 1 and given_back == taken
--- a/packages/scheduling/peridot_scheduling/cold_starts.py
+++ b/packages/scheduling/peridot_scheduling/cold_starts.py
@@ -248,6 +248,8 @@
     bucket: TokenBucket | None = None
     assigned_until: float = -inf
     permit_until: float = -inf
+    # Until when the permit was good that the last request took, if it took one.
+    taken_permit_until: float = -inf
     # Whether this VM assigned the rate itself, without a placer.
     alone: bool = False
 
@@ -273,10 +275,19 @@
     def take(self, now: float) -> bool:
         """Take the allowance of a request, if there is one."""
         if now < self.permit_until:
-            self.permit_until = -inf
+            self.taken_permit_until, self.permit_until = self.permit_until, -inf
             return True
+        self.taken_permit_until = -inf
         return self.may_send(now) and self.bucket.take(now)
 
+    def give_back(self) -> None:
+        """Undo the last take, at the same time; its request isn't sent."""
+        if self.taken_permit_until > -inf:
+            self.permit_until = max(self.permit_until, self.taken_permit_until)
+            self.taken_permit_until = -inf
+        elif self.bucket is not None:
+            self.bucket.tokens = min(self.bucket.burst, self.bucket.tokens + 1.0)
+
 
 def is_sender_alone(target: str, vm: str, known_vms: Iterable[str]) -> bool:
     """Return whether a VM without a placer is the one that sends to a target."""
--- a/packages/scheduling/tests/test_cold_starts.py
+++ b/packages/scheduling/tests/test_cold_starts.py
@@ -5,6 +5,7 @@
 import pytest
 
 from peridot_scheduling.cold_starts import (
+    PERMIT_S,
     QUIET_S,
     REASSIGNMENT_DELAY_S,
     USABLE_S,
@@ -48,6 +49,21 @@
     assert len(choose_senders("t", "unknown", ZONES, 2)) == 2
 
 
+def test_what_a_request_took_that_is_not_sent_is_there_for_another():
+    """Guards against permits lost to refused requests, and permits that double."""
+    allowance = Allowance()
+    allowance.permit(0.0)
+    assert allowance.take(0.05)
+    allowance.give_back()
+    assert allowance.take(0.05) and not allowance.take(0.05)
+    allowance.give_back()
+    assert not allowance.take(PERMIT_S)
+    allowance.assign(2.0, 1.0)
+    assert allowance.take(1.5)
+    allowance.give_back()
+    assert allowance.take(1.5) and not allowance.take(1.5)
+
+
 def test_a_lost_sender_is_replaced_after_its_assignment_has_lapsed():
     """Guards against a sender that was cut off and sends beside its successor."""
     limits, allotment = find_limits(4.5, 1.5, 8.0, 8.0), Allotment()
