Compute the limits of cold targets once by service

The choice of a target computed the limits of the service for each of its targets, and looked up three times whether each was cold. Nothing is kept of targets that were never cold.

test_the_limits_of_a_service_are_computed_once fails without the change.

--- a/packages/gateway/peridot_gateway/coldtargets.py
+++ b/packages/gateway/peridot_gateway/coldtargets.py
@@ -12,7 +12,11 @@
 from peridot_ownership.ranges import RangeTable
 from peridot_placement.decisions import DecisionLog
 from peridot_placement.signals import ChangeSignal
-from peridot_resources.configuration import ServiceConfiguration, TargetInstance
+from peridot_resources.configuration import (
+    Configuration,
+    ServiceConfiguration,
+    TargetInstance,
+)
 from peridot_routing.outcomes import Answered, NotRun, Outcome, Reason
 from peridot_scheduling.cold_starts import (
     ALONE_SHARE,
@@ -74,6 +78,10 @@
         # From the settings; without a factor there is no limit.
         self.rate_factor: float | None = None
         self.rate_slack = 0.0
+        # The limits by service in a configuration: each request needs them for all
+        # targets of its service.
+        self.limits: dict[str, ColdLimits | None] = {}
+        self.limits_for: Configuration | None = None
         # Returns the names of the VMs that this VM knew last.
         self.get_known_vms: Callable[[], Iterable[str]] = lambda: ()
         self.times = ColdTimes()
@@ -111,15 +119,24 @@
             # find_limits replaces what is invalid.
             self.log.write("cold_limit_invalid", factor=rate_factor, slack=rate_slack)
         self.rate_factor, self.rate_slack = rate_factor, rate_slack
+        self.limits.clear()
 
     def find_limits(self, service: str) -> ColdLimits | None:
         """Return the limits of a service's cold targets, None if it has none."""
-        found = self._find_service(service)
-        if found is None:
+        if self.rate_factor is None:
             return None
-        return find_limits(
-            found.cold_rate, self.rate_factor, self.rate_slack, found.cold_s
-        )
+        configuration = self.configuration.configuration
+        if configuration is not self.limits_for:
+            self.limits_for = configuration
+            self.limits.clear()
+        if service not in self.limits:
+            found = configuration.services.get(service)
+            if found is None:
+                return None
+            self.limits[service] = find_limits(
+                found.cold_rate, self.rate_factor, self.rate_slack, found.cold_s
+            )
+        return self.limits[service]
 
     def left_s(self, target: TargetInstance) -> float:
         """Return for how much longer a target is cold, 0 if it has no limit."""
@@ -139,6 +156,9 @@
         limits = self.find_limits(target.service)
         if limits is None:
             return True
+        self._read_entry(target)
+        if target.name not in self.times.targets:
+            return True
         now = self.clock()
         if not self._is_limited(target, now):
             return draw < self.times.ramp_share(target.name, now)
--- a/packages/gateway/tests/test_coldtargets.py
+++ b/packages/gateway/tests/test_coldtargets.py
@@ -9,12 +9,13 @@
 
 import pytest
 
+from peridot_gateway import coldtargets as coldtargets_module
 from peridot_gateway.coldtargets import TERM_DELAY_S, ColdTargets
 from peridot_ownership.ranges import RangeTable
 from peridot_placement.decisions import MemoryDecisionLog
 from peridot_resources.configuration import ServiceConfiguration, TargetInstance
 from peridot_routing.outcomes import Answered, NotRun, Reason, Unknown
-from peridot_scheduling.cold_starts import Allowance
+from peridot_scheduling.cold_starts import Allowance, find_limits
 from peridot_wire import peridot_pb2 as pb
 
 RATE, FACTOR, SLACK, COLD_S = 4.5, 1.5, 8.0, 8.0
@@ -328,6 +329,25 @@
     assert 1 <= fleet.peak(began, fleet.now) <= LIMIT
 
 
+def test_the_limits_of_a_service_are_computed_once(monkeypatch):
+    """Guards against a processor time per request that grows with the targets."""
+    calls = []
+    monkeypatch.setattr(
+        coldtargets_module, "find_limits", lambda *a: calls.append(a) or find_limits(*a)
+    )
+    vm = Fleet(1, False, 5.0).vms["v0"]
+    for _ in range(9):
+        assert vm.may_send(TARGET, 0.5)
+    # Nothing is kept of a target that was never cold.
+    assert len(calls) == 1 and not vm.times.targets
+    services = {"files": ServiceConfiguration("files", False, 100, 1.0, COLD_S, 9.0)}
+    vm.configuration.configuration = SimpleNamespace(services=services)
+    assert vm.find_limits("files").rate == 9.0 and len(calls) == 2
+    vm.set_limits(2.0, 0.0)
+    assert vm.find_limits("files").limit == 18.0
+    assert vm.find_limits("unknown") is None
+
+
 def test_nothing_is_limited_without_the_settings():
     """Guards against limits where a deployment asks for none."""
     fleet = Fleet(2, True, 5.0)
--- a/packages/scheduling/peridot_scheduling/cold_starts.py
+++ b/packages/scheduling/peridot_scheduling/cold_starts.py
@@ -174,9 +174,9 @@
 
     def set_cold(self, target: str, left_s: float, now: float) -> None:
         """Count a target as cold for a time, or for longer if it is already."""
-        item = self.get(target)
         if not (isfinite(left_s) and left_s > 0):
             return
+        item = self.get(target)
         if item.until <= now:
             item.since = now
         item.until = max(item.until, now + left_s)
