--- a/packages/gateway/peridot_gateway/coldtargets.py
+++ b/packages/gateway/peridot_gateway/coldtargets.py
@@ -397,6 +397,7 @@
             if name in self.targets.targets and self.times.left_s(name, now)
         }
         self.allotment.remove_all_except(cold)
+        self.allotment.allow_choices()
         self.reported &= cold.keys()
         self.cold_services = {target.service for target in cold.values()}
         self.sender_shares = {}
--- a/packages/gateway/tests/test_coldtargets.py
+++ b/packages/gateway/tests/test_coldtargets.py
@@ -15,6 +15,7 @@
 from peridot_placement.decisions import MemoryDecisionLog
 from peridot_resources.configuration import ServiceConfiguration, TargetInstance
 from peridot_routing.outcomes import Answered, NotRun, Reason, Unknown
+from peridot_scheduling import cold_starts as cold_starts_module
 from peridot_scheduling.cold_starts import Allowance, find_limits
 from peridot_wire import peridot_pb2 as pb
 
@@ -329,6 +330,26 @@
     assert 1 <= fleet.peak(began, fleet.now) <= LIMIT
 
 
+def test_senders_of_many_targets_are_chosen_over_time(monkeypatch):
+    """Guards against a placer that stands still when a large zone returns."""
+    fleet = Fleet(8, False, 5.0)
+    fleet.run(TERM_DELAY_S + 1.0)
+    placer, calls = fleet.vms["v0"], []
+    choose = cold_starts_module.choose_senders
+    monkeypatch.setattr(
+        cold_starts_module, "choose_senders", lambda *a: calls.append(a) or choose(*a)
+    )
+    for i in range(120):
+        target = replace(TARGET, name=f"t{i}", warm_up_left_s=COLD_S)
+        placer.targets.targets[target.name] = target
+    placer.update()
+    for passes in range(1, 5):
+        placer._refresh(fleet.now)
+        assert len(calls) == min(120, passes * 50)
+    senders = [shares.senders for shares in placer.allotment.targets.values()]
+    assert [len(names) for names in senders] == [2] * 120
+
+
 def test_the_limits_of_a_service_are_computed_once(monkeypatch):
     """Guards against a processor time per request that grows with the targets."""
     calls = []
--- a/packages/scheduling/peridot_scheduling/cold_starts.py
+++ b/packages/scheduling/peridot_scheduling/cold_starts.py
@@ -35,6 +35,9 @@
 # No permits are issued for this time (s) after a target turned cold: requests of the
 # last second count against the limit too.
 QUIET_S = 1.0
+# Targets whose senders are chosen at once: a choice takes a hash for each VM of a zone,
+# and thousands of targets may turn cold together.
+MAX_CHOICES = 50
 # Callers wait for about this time (s); later permits would be wasted.
 DEMAND_S = 0.5
 # A VM without a placer sends this share of the rate if it is the chosen sender.
@@ -311,6 +314,8 @@
     targets: dict[str, _TargetShares] = field(default_factory=dict)
     # Requests that wait by VM and target, and when they were reported.
     demand: dict[str, dict[str, tuple[int, float]]] = field(default_factory=dict)
+    # Targets whose senders may be chosen before the next call of allow_choices.
+    choices_left: int = MAX_CHOICES
 
     def add_target(self, target: str, limits: ColdLimits, since: float) -> None:
         """Add a target that has been cold since a time."""
@@ -320,6 +325,10 @@
             )
             self.targets[target] = _TargetShares(permits)
 
+    def allow_choices(self) -> None:
+        """Allow the choice of senders of some more targets."""
+        self.choices_left = MAX_CHOICES
+
     def update_senders(
         self,
         target: str,
@@ -335,8 +344,9 @@
         lost = len(shares.senders) - len(kept)
         pending = [at for at in shares.free_from if at > now]
         pending += [now + REASSIGNMENT_DELAY_S] * lost
-        free = max(0, count - len(kept) - len(pending))
-        if free:
+        free = min(count - len(pending), len(vms)) - len(kept)
+        if free > 0 and self.choices_left > 0:
+            self.choices_left -= 1
             others = {vm: vms[vm] for vm in vms if vm not in kept}
             kept += choose_senders(target, zone, others, free)
         shares.senders, shares.free_from = kept, pending
