--- a/packages/gateway/peridot_gateway/coldtargets.py
+++ b/packages/gateway/peridot_gateway/coldtargets.py
@@ -19,14 +19,14 @@
 )
 from peridot_routing.outcomes import Answered, NotRun, Outcome, Reason
 from peridot_scheduling.cold_starts import (
-    ALONE_SHARE,
     ASSIGNMENT_S,
+    FALLBACK_SHARE,
     Allotment,
     Allowance,
     ColdLimits,
     ColdTimes,
     find_limits,
-    is_sender_alone,
+    is_fallback_sender,
 )
 from peridot_wire import peridot_pb2 as pb
 
@@ -43,7 +43,7 @@
 # The placer looks up cold targets and senders once in this time (s) for all members.
 REFRESH_PERIOD_S = 0.1
 # Without a placer the list of VMs doesn't change; the check takes a hash for each.
-ALONE_CHECK_PERIOD_S = 1.0
+FALLBACK_CHECK_PERIOD_S = 1.0
 UNREACHED_REASONS = frozenset((Reason.CONNECTION_REFUSED, Reason.TARGET_LOST))
 # Outcomes other than answers for which the target has responded. A request that ends
 # without a response says nothing: the target may be silent.
@@ -97,7 +97,7 @@
         self.logged: set[str] = set()
         self.refused = 0
         # When (s) it was checked if this VM sends without a placer, and the result.
-        self.alone: dict[str, tuple[float, bool]] = {}
+        self.fallback_checks: dict[str, tuple[float, bool]] = {}
         # Used while this VM is the placer.
         self.term = 0
         self.leading_since = float("inf")
@@ -162,7 +162,7 @@
         now = self.clock()
         if not self._is_limited(target, now):
             return draw < self.times.ramp_share(target.name, now)
-        self._update_alone(target, limits, now)
+        self._update_fallback(target, limits, now)
         allowance = self.allowances.get(target.name)
         return allowance is not None and allowance.may_send(now)
 
@@ -231,11 +231,16 @@
             if not self.times.left_s(name, now):
                 self.logged.remove(name)
                 self.allowances.pop(name, None)
-                self.alone.pop(name, None)
+                self.fallback_checks.pop(name, None)
                 self.log.write("target_warm", target=name)
         names = self.targets.targets.keys()
         self.times.remove_all_except(names)
-        for by_target in (self.entries, self.allowances, self.alone, self.reporters):
+        for by_target in (
+            self.entries,
+            self.allowances,
+            self.fallback_checks,
+            self.reporters,
+        ):
             for name in by_target.keys() - names:
                 del by_target[name]
 
@@ -286,7 +291,7 @@
 
     def _is_limited(self, target: TargetInstance, now: float) -> bool:
         self._read_entry(target)
-        return self.times.left_s(target.name, now) > 0 or self.times.is_doubtful(
+        return self.times.left_s(target.name, now) > 0 or self.times.is_suspected(
             target.name, now
         )
 
@@ -310,20 +315,22 @@
                 "target_cold", target=target.name, left=round(left_s, 2), cause=cause
             )
 
-    def _update_alone(
+    def _update_fallback(
         self, target: TargetInstance, limits: ColdLimits, now: float
     ) -> None:
         """Assign a small rate to one VM of those that have lost the placer."""
         if now < self.state_at + ASSIGNMENT_S:
             return
-        checked_at, is_sender = self.alone.get(target.name, (float("-inf"), False))
-        if now >= checked_at + ALONE_CHECK_PERIOD_S:
-            is_sender = is_sender_alone(target.name, self.vm, self.get_known_vms())
-            self.alone[target.name] = now, is_sender
+        checked_at, is_sender = self.fallback_checks.get(
+            target.name, (float("-inf"), False)
+        )
+        if now >= checked_at + FALLBACK_CHECK_PERIOD_S:
+            is_sender = is_fallback_sender(target.name, self.vm, self.get_known_vms())
+            self.fallback_checks[target.name] = now, is_sender
         if is_sender:
             allowance = self.allowances.setdefault(target.name, Allowance())
-            rate = min(limits.rate * ALONE_SHARE, limits.sender_rate)
-            allowance.assign(rate, now, alone=True)
+            rate = min(limits.rate * FALLBACK_SHARE, limits.sender_rate)
+            allowance.assign(rate, now, fallback=True)
 
     # The placer.
 
--- a/packages/gateway/peridot_gateway/fleetwork.py
+++ b/packages/gateway/peridot_gateway/fleetwork.py
@@ -122,8 +122,10 @@
             return None
         return mean.mean_s / speed
 
-    def centre(self, targets_by_service: Iterable[tuple[str, list[str]]], now: float):
-        """Keep the mean speed of each service's targets near 1; forget other targets."""
+    def centre(
+        self, targets_by_service: Iterable[tuple[str, list[str]]], now: float
+    ) -> None:
+        """Keep the mean speed of each service's targets near 1; forget others."""
         present: set[str] = set()
         for service, names in targets_by_service:
             present.update(names)
--- a/packages/gateway/tests/test_coldtargets.py
+++ b/packages/gateway/tests/test_coldtargets.py
@@ -292,7 +292,10 @@
     fleet.run(1.0)
     fleet.vms["v1"].record_outcome(TARGET, NotRun(Reason.CONNECTION_REFUSED))
     placer = fleet.vms["v0"]
-    placer.reporters["t"], placer.alone["t"] = {"v1": fleet.now}, (fleet.now, True)
+    placer.reporters["t"], placer.fallback_checks["t"] = (
+        {"v1": fleet.now},
+        (fleet.now, True),
+    )
     placer.allowances["t"] = Allowance()
     assert placer.allotment.demand and placer.members and placer.entries
     for vm in fleet.vms:
@@ -301,7 +304,7 @@
     placer.update()
     assert not placer.allotment.demand and not placer.members
     assert not placer.entries and not placer.times.targets
-    assert not placer.allowances and not placer.alone and not placer.reporters
+    assert not placer.allowances and not placer.fallback_checks and not placer.reporters
 
 
 def test_a_zone_that_returns_is_cold():
--- a/packages/scheduling/peridot_scheduling/cold_starts.py
+++ b/packages/scheduling/peridot_scheduling/cold_starts.py
@@ -40,14 +40,14 @@
 MAX_CHOICES = 50
 # Callers wait for about this time (s); later permits would be wasted.
 DEMAND_S = 0.5
-# A VM without a placer sends this share of the rate if it is the chosen sender.
-ALONE_SHARE = 0.25
+# Without a placer, the chosen sender sends this share of the rate.
+FALLBACK_SHARE = 0.25
 # Failures of a target within less time (s) aren't counted as one that was unreachable.
 UNREACHABLE_S = 0.5
 # A target that was unreachable for one VM counts as cold there for this time (s) after
 # the last failure and after the first response, until the placer has decided. One VM
 # alone may have been cut off itself.
-OPINION_S = 1.0
+SUSPICION_S = 1.0
 # After the cold time, the share of requests that may be sent rises to 1 in this time
 # (s).
 RAMP_S = 2.0
@@ -157,7 +157,7 @@
     since: float = -inf
     until: float = -inf
     # Until when it may be cold by what this VM alone saw.
-    opinion_until: float = -inf
+    suspected_until: float = -inf
     # First and last failure without a response in between.
     failing_since: float | None = None
     failed_at: float = -inf
@@ -189,11 +189,11 @@
         item = self.targets.get(target)
         return max(0.0, item.until - now) if item else 0.0
 
-    def is_doubtful(self, target: str, now: float) -> bool:
+    def is_suspected(self, target: str, now: float) -> bool:
         """Return whether a target may be cold by what this VM alone saw."""
         item = self.targets.get(target)
         return item is not None and (
-            now < item.opinion_until or self._is_unreachable(item, now)
+            now < item.suspected_until or self._is_unreachable(item, now)
         )
 
     def ramp_share(self, target: str, now: float) -> float:
@@ -218,7 +218,7 @@
         if item is None or item.failing_since is None:
             return
         if item.failed_at - item.failing_since >= UNREACHABLE_S:
-            item.returned_at, item.opinion_until = now, now + OPINION_S
+            item.returned_at, item.suspected_until = now, now + SUSPICION_S
         item.failing_since = None
 
     def reported_left_s(self, target: str, cold_s: float, now: float) -> float:
@@ -240,7 +240,7 @@
         return (
             item.failing_since is not None
             and item.failed_at - item.failing_since >= UNREACHABLE_S
-            and now < item.failed_at + OPINION_S
+            and now < item.failed_at + SUSPICION_S
         )
 
 
@@ -254,14 +254,14 @@
     # Until when the permit was good that the last request took, if it took one.
     taken_permit_until: float = -inf
     # Whether this VM assigned the rate itself, without a placer.
-    alone: bool = False
+    fallback: bool = False
 
-    def assign(self, rate: float, now: float, alone: bool = False) -> None:
+    def assign(self, rate: float, now: float, fallback: bool = False) -> None:
         """Set the rate that is assigned; a new sender begins without a burst."""
-        lapsed = self.assigned_until <= now and not alone
-        if self.bucket is None or lapsed or alone != self.alone:
+        lapsed = self.assigned_until <= now and not fallback
+        if self.bucket is None or lapsed or fallback != self.fallback:
             self.bucket = TokenBucket(rate, now)
-        self.bucket.rate, self.alone = rate, alone
+        self.bucket.rate, self.fallback = rate, fallback
         self.assigned_until = now + ASSIGNMENT_S
 
     def permit(self, now: float) -> None:
@@ -292,7 +292,7 @@
             self.bucket.tokens = min(self.bucket.burst, self.bucket.tokens + 1.0)
 
 
-def is_sender_alone(target: str, vm: str, known_vms: Iterable[str]) -> bool:
+def is_fallback_sender(target: str, vm: str, known_vms: Iterable[str]) -> bool:
     """Return whether a VM without a placer is the one that sends to a target."""
     return choose_senders(target, "", dict.fromkeys(known_vms, ""), 1) == [vm]
 
