Bound the work in flight of a target that members are sent

The bound of the figure was that of one VM's report. The sum of 1,200 such VMs doesn't fit the field, which ended the links to all members, and members dropped smaller sums as false.

test_the_work_of_many_vms_fits_the_message fails without the change.

--- a/packages/gateway/peridot_gateway/fleetwork.py
+++ b/packages/gateway/peridot_gateway/fleetwork.py
@@ -13,7 +13,7 @@
 from peridot_scheduling.speeds import Speeds
 from peridot_wire import peridot_pb2 as pb
 
-# Bounds of the work in flight of one VM at one target (s).
+# Bounds of the work in flight at one target (s), of one VM and of all.
 MAX_IN_FLIGHT_WORK_S = 3_600.0
 # A key's requests count as at most so many mean requests each, and at least one in so
 # many.
@@ -196,7 +196,9 @@
         names = list(names)
         totals = work.totals_s()
         speeds = [work.speeds.current(name, now) for name in names]
-        self.work_ms = [round(1000 * totals[name]) for name in names]
+        self.work_ms = [
+            round(1000 * min(totals[name], MAX_IN_FLIGHT_WORK_S)) for name in names
+        ]
         # 0 stands for a target without samples.
         self.speeds_permille = [round(1000 * (speed or 0.0)) for speed in speeds]
         self.routes = [
--- a/packages/gateway/tests/test_fleetwork.py
+++ b/packages/gateway/tests/test_fleetwork.py
@@ -10,7 +10,12 @@
 from peridot_gateway.coldtargets import ColdTargets
 from peridot_gateway.estimates import Estimates
 from peridot_gateway.fleetload import FleetLoad
-from peridot_gateway.fleetwork import add_work_report, apply_work_state
+from peridot_gateway.fleetwork import (
+    MAX_IN_FLIGHT_WORK_S,
+    WorkState,
+    add_work_report,
+    apply_work_state,
+)
 from peridot_gateway.messages import serialize_keys
 from peridot_ownership.planner import PlanInput, plan_moves
 from peridot_ownership.ranges import KEY_SPACE, KeyRange, RangeTable
@@ -254,6 +259,20 @@
     assert load.processing_times.keys() == {"t"} and load.work.slow == {"t"}
 
 
+def test_the_work_of_many_vms_fits_the_message():
+    """Guards against a sum that ends the links to all members."""
+    load, work = make_load(), WorkState()
+    for number in range(1_300):
+        load.work.in_flight_s[f"v{number}"] = {"t": MAX_IN_FLIGHT_WORK_S}
+    work.update(load.work, ["t"], 5.0)
+    state = pb.FleetState()
+    work.add_to(state)
+    estimates = Estimates(clock=lambda: 5.0)
+    estimates.set_in_flight({"t": 9}, {})
+    apply_work_state(estimates, ["t"], state)
+    assert estimates.get("t").others_work_s == MAX_IN_FLIGHT_WORK_S
+
+
 def test_targets_of_evacuated_zones_are_no_capacity():
     """Guards against shares of routes for slots that get no requests."""
     load = make_load()
