--- a/packages/gateway/peridot_gateway/following.py
+++ b/packages/gateway/peridot_gateway/following.py
@@ -144,6 +144,10 @@
             self.cold.apply_state(state.cold_targets)
         if any(item.admit_permille for item in state.routes):
             self.handle_routes(state.routes)
+        self._apply_load(state)
+
+    def _apply_load(self, state: pb.FleetState) -> None:
+        """Apply the requests and the work in flight of all VMs."""
         if state.in_flight_names:
             self.in_flight_names = list(state.in_flight_names)
         if len(state.in_flight_counts) == len(self.in_flight_names):
