--- a/packages/ownership/peridot_ownership/ranges.py
+++ b/packages/ownership/peridot_ownership/ranges.py
@@ -23,7 +23,9 @@
         """Return the parts of this range that none of the others covers."""
         left = [self]
         for other in others:
-            left = [part for item in left for part in item._subtract(other)]
+            # Most don't overlap, and plans subtract all moving ranges from all others.
+            if self.start < other.end and other.start < self.end:
+                left = [part for item in left for part in item._subtract(other)]
         return left
 
     def _subtract(self, other: "KeyRange") -> list["KeyRange"]:
