End the shares' bisections when no capacity is left

The groups after the one that used up the capacity were bisected for what the precision had left. The shares of 1,400 routes of 350 overloaded services take 0.10 s, 0.19 s before.

--- a/packages/scheduling/peridot_scheduling/priorities.py
+++ b/packages/scheduling/peridot_scheduling/priorities.py
@@ -39,6 +39,8 @@
 MAX_USABLE_DECLINE_PER_S = 0.1
 # Bisections of a level: exact to a thousandth of a permille.
 LEVEL_STEPS = 20
+# What is left below this part of a group's limits is the error of bisections before.
+LEVEL_PRECISION = 2 * 0.5**LEVEL_STEPS
 # Routes with less than this part of a service's requests compete for nothing: a
 # configuration may have thousands of routes, most of them without requests.
 MIN_ACTIVE_SHARE = 0.02
@@ -133,6 +135,8 @@
     def raise_to(part: float) -> dict[str, float]:
         return {name: max(granted[name], part * limits[name]) for name in group}
 
+    if left <= LEVEL_PRECISION * sum(limits[name] for name in group):
+        return {name: granted[name] for name in group}
     available = left + sum(granted[name] for name in group)
     low, high = 0.0, 1.0
     if sum(raise_to(high).values()) <= available:
