--- a/packages/gateway/peridot_gateway/coldtargets.py
+++ b/packages/gateway/peridot_gateway/coldtargets.py
@@ -12,17 +12,21 @@
 from peridot_ownership.ranges import RangeTable
 from peridot_placement.decisions import DecisionLog
 from peridot_placement.signals import ChangeSignal
-from peridot_resources.configuration import ServiceConfiguration, TargetInstance
-from peridot_routing.outcomes import NotRun, Outcome, Reason
+from peridot_resources.configuration import (
+    Configuration,
+    ServiceConfiguration,
+    TargetInstance,
+)
+from peridot_routing.outcomes import Answered, NotRun, Outcome, Reason
 from peridot_scheduling.cold_starts import (
-    ALONE_SHARE,
     ASSIGNMENT_S,
+    FALLBACK_SHARE,
     Allotment,
     Allowance,
     ColdLimits,
     ColdTimes,
     find_limits,
-    is_sender_alone,
+    is_fallback_sender,
 )
 from peridot_wire import peridot_pb2 as pb
 
@@ -39,8 +43,11 @@
 # The placer looks up cold targets and senders once in this time (s) for all members.
 REFRESH_PERIOD_S = 0.1
 # Without a placer the list of VMs doesn't change; the check takes a hash for each.
-ALONE_CHECK_PERIOD_S = 1.0
+FALLBACK_CHECK_PERIOD_S = 1.0
 UNREACHED_REASONS = frozenset((Reason.CONNECTION_REFUSED, Reason.TARGET_LOST))
+# Outcomes other than answers for which the target has responded. A request that ends
+# without a response says nothing: the target may be silent.
+RESPONSE_REASONS = frozenset((Reason.NOT_OWNER, Reason.SHED, Reason.TORN_ANSWER))
 
 
 @dataclass
@@ -71,6 +78,10 @@
         # From the settings; without a factor there is no limit.
         self.rate_factor: float | None = None
         self.rate_slack = 0.0
+        # The limits by service in a configuration: each request needs them for all
+        # targets of its service.
+        self.limits: dict[str, ColdLimits | None] = {}
+        self.limits_for: Configuration | None = None
         # Returns the names of the VMs that this VM knew last.
         self.get_known_vms: Callable[[], Iterable[str]] = lambda: ()
         self.times = ColdTimes()
@@ -86,7 +97,7 @@
         self.logged: set[str] = set()
         self.refused = 0
         # When (s) it was checked if this VM sends without a placer, and the result.
-        self.alone: dict[str, tuple[float, bool]] = {}
+        self.fallback_checks: dict[str, tuple[float, bool]] = {}
         # Used while this VM is the placer.
         self.term = 0
         self.leading_since = float("inf")
@@ -108,15 +119,24 @@
             # find_limits replaces what is invalid.
             self.log.write("cold_limit_invalid", factor=rate_factor, slack=rate_slack)
         self.rate_factor, self.rate_slack = rate_factor, rate_slack
+        self.limits.clear()
 
     def find_limits(self, service: str) -> ColdLimits | None:
         """Return the limits of a service's cold targets, None if it has none."""
-        found = self._find_service(service)
-        if found is None:
+        if self.rate_factor is None:
             return None
-        return find_limits(
-            found.cold_rate, self.rate_factor, self.rate_slack, found.cold_s
-        )
+        configuration = self.configuration.configuration
+        if configuration is not self.limits_for:
+            self.limits_for = configuration
+            self.limits.clear()
+        if service not in self.limits:
+            found = configuration.services.get(service)
+            if found is None:
+                return None
+            self.limits[service] = find_limits(
+                found.cold_rate, self.rate_factor, self.rate_slack, found.cold_s
+            )
+        return self.limits[service]
 
     def left_s(self, target: TargetInstance) -> float:
         """Return for how much longer a target is cold, 0 if it has no limit."""
@@ -136,10 +156,13 @@
         limits = self.find_limits(target.service)
         if limits is None:
             return True
+        self._read_entry(target)
+        if target.name not in self.times.targets:
+            return True
         now = self.clock()
         if not self._is_limited(target, now):
             return draw < self.times.ramp_share(target.name, now)
-        self._update_alone(target, limits, now)
+        self._update_fallback(target, limits, now)
         allowance = self.allowances.get(target.name)
         return allowance is not None and allowance.may_send(now)
 
@@ -153,6 +176,14 @@
             return self.allowances[target.name].take(now)
         return True
 
+    def give_back(self, target: TargetInstance) -> None:
+        """Return the allowance that was just taken for a request that isn't sent."""
+        allowance = self.allowances.get(target.name)
+        limited = self.find_limits(target.service) is not None
+        if allowance and limited and self._is_limited(target, self.clock()):
+            allowance.give_back()
+            self.changed.notify()
+
     def request_report(self) -> None:
         """Report soon to the placer: a request waits for a permit."""
         self.report_requested = True
@@ -173,7 +204,7 @@
         now = self.clock()
         if isinstance(outcome, NotRun) and outcome.reason in UNREACHED_REASONS:
             self.times.record_failure(target.name, now)
-        else:
+        elif isinstance(outcome, Answered) or outcome.reason in RESPONSE_REASONS:
             self.times.record_response(target.name, now)
         if now >= self.state_at + ASSIGNMENT_S:
             # No placer collects what the VMs saw.
@@ -200,12 +231,18 @@
             if not self.times.left_s(name, now):
                 self.logged.remove(name)
                 self.allowances.pop(name, None)
-                self.alone.pop(name, None)
+                self.fallback_checks.pop(name, None)
                 self.log.write("target_warm", target=name)
         names = self.targets.targets.keys()
         self.times.remove_all_except(names)
-        for name in self.entries.keys() - names:
-            del self.entries[name]
+        for by_target in (
+            self.entries,
+            self.allowances,
+            self.fallback_checks,
+            self.reporters,
+        ):
+            for name in by_target.keys() - names:
+                del by_target[name]
 
     def count_cold(self) -> int:
         """Return how many targets are cold."""
@@ -254,7 +291,7 @@
 
     def _is_limited(self, target: TargetInstance, now: float) -> bool:
         self._read_entry(target)
-        return self.times.left_s(target.name, now) > 0 or self.times.is_doubtful(
+        return self.times.left_s(target.name, now) > 0 or self.times.is_suspected(
             target.name, now
         )
 
@@ -278,20 +315,22 @@
                 "target_cold", target=target.name, left=round(left_s, 2), cause=cause
             )
 
-    def _update_alone(
+    def _update_fallback(
         self, target: TargetInstance, limits: ColdLimits, now: float
     ) -> None:
         """Assign a small rate to one VM of those that have lost the placer."""
         if now < self.state_at + ASSIGNMENT_S:
             return
-        checked_at, is_sender = self.alone.get(target.name, (float("-inf"), False))
-        if now >= checked_at + ALONE_CHECK_PERIOD_S:
-            is_sender = is_sender_alone(target.name, self.vm, self.get_known_vms())
-            self.alone[target.name] = now, is_sender
+        checked_at, is_sender = self.fallback_checks.get(
+            target.name, (float("-inf"), False)
+        )
+        if now >= checked_at + FALLBACK_CHECK_PERIOD_S:
+            is_sender = is_fallback_sender(target.name, self.vm, self.get_known_vms())
+            self.fallback_checks[target.name] = now, is_sender
         if is_sender:
             allowance = self.allowances.setdefault(target.name, Allowance())
-            rate = min(limits.rate * ALONE_SHARE, limits.sender_rate)
-            allowance.assign(rate, now, alone=True)
+            rate = min(limits.rate * FALLBACK_SHARE, limits.sender_rate)
+            allowance.assign(rate, now, fallback=True)
 
     # The placer.
 
@@ -301,13 +340,14 @@
             return
         now = self.clock()
         if report.leaving:
-            self.members.pop(report.vm, None)
+            self.remove_vm(report.vm)
             return
         member = self.members.setdefault(report.vm, _Member(report.data_centre, now))
         member.zone, member.reported_at = report.data_centre, now
         for item in report.keys:
             if item.service in self.cold_services:
-                counts = dict(zip(item.keys, item.counts, strict=True))
+                # FleetLoad logs lists of different lengths.
+                counts = dict(zip(item.keys, item.counts, strict=False))
                 member.keys.setdefault(item.service, Counter()).update(counts)
         for item in report.targets:
             if item.cold_left_ms:
@@ -321,6 +361,7 @@
     def remove_vm(self, vm: str) -> None:
         """Forget a VM that left."""
         self.members.pop(vm, None)
+        self.allotment.remove_vm(vm)
 
     def build_shares(
         self, vm: str, term: int, tables: Mapping[str, RangeTable]
@@ -363,6 +404,7 @@
             if name in self.targets.targets and self.times.left_s(name, now)
         }
         self.allotment.remove_all_except(cold)
+        self.allotment.allow_choices()
         self.reported &= cold.keys()
         self.cold_services = {target.service for target in cold.values()}
         self.sender_shares = {}
--- a/packages/gateway/peridot_gateway/fleetload.py
+++ b/packages/gateway/peridot_gateway/fleetload.py
@@ -20,6 +20,9 @@
 
 # Weight of one report's mean processing time in the moving average.
 PROCESSING_TIME_WEIGHT = 0.3
+# Bounds of a mean processing time (s); others would make capacities 0 or infinite.
+MIN_PROCESSING_S = 1e-6
+MAX_PROCESSING_S = 3_600.0
 
 
 @dataclass
@@ -41,7 +44,7 @@
     def __post_init__(self) -> None:
         self.shares = FleetShares(
             lambda: self.configuration.configuration,
-            self.targets_of,
+            self._serving_targets_of,
             self.processing_s,
             lambda service, route: self.work.costs.learned_s(
                 service, route, self.clock()
@@ -56,6 +59,13 @@
     def targets_of(self, service: str) -> list[TargetInstance]:
         return self.targets.of_service(service)
 
+    def _serving_targets_of(self, service: str) -> list[TargetInstance]:
+        """Return the targets of a service that aren't in evacuated zones."""
+        targets = self.targets_of(service)
+        if self.evacuations is None:
+            return targets
+        return [t for t in targets if not self.evacuations.is_evacuated(t)]
+
     def is_address_reused(self, target: TargetInstance) -> bool:
         return self.targets.is_address_reused(target)
 
@@ -87,13 +97,16 @@
         if self.cold is not None:
             self.cold.record_report(report)
         for counts in report.keys:
+            if len(counts.keys) != len(counts.counts):
+                self.work.drop(report.vm, "keys", counts.service, len(counts.keys), now)
+                continue
             weights = self.work.weigh_keys(counts, report.vm, now)
             pairs = zip(counts.keys, weights, strict=True)
             self.loads_of(counts.service).add(pairs, now)
         self.shares.record(report, now)
         for item in report.targets:
             if item.busy_count:
-                self._record_processing_time(item)
+                self._record_processing_time(report.vm, item, now)
             if item.leaving:
                 self.targets.announce_leaving(item.target, item.started_ms)
         self.work.record_report(report, now)
@@ -101,8 +114,13 @@
             item.target: item.in_flight for item in report.targets if item.in_flight
         }
 
-    def _record_processing_time(self, item: pb.TargetReport) -> None:
+    def _record_processing_time(
+        self, vm: str, item: pb.TargetReport, now: float
+    ) -> None:
         sample = item.busy_ms / item.busy_count / 1000
+        if not MIN_PROCESSING_S <= sample <= MAX_PROCESSING_S:
+            self.work.drop(vm, "processing_time", item.target, sample, now)
+            return
         previous = self.processing_times.get(item.target, sample)
         weight = min(1.0, PROCESSING_TIME_WEIGHT * item.busy_count)
         self.processing_times[item.target] = previous + weight * (sample - previous)
@@ -122,6 +140,8 @@
             ((name, [item.name for item in items]) for name, items in services), now
         )
         names = list(self.targets.targets)
+        for name in self.processing_times.keys() - self.targets.targets.keys():
+            del self.processing_times[name]
         speeds = ((name, self.work.speeds.current(name, now)) for name in names)
         estimates.set_shared(
             self.work.totals_s(),
--- a/packages/gateway/peridot_gateway/fleetwork.py
+++ b/packages/gateway/peridot_gateway/fleetwork.py
@@ -13,7 +13,7 @@
 from peridot_scheduling.speeds import Speeds
 from peridot_wire import peridot_pb2 as pb
 
-# Bounds of the work in flight of one VM at one target (s).
+# Bounds of the work in flight at one target (s), of one VM and of all.
 MAX_IN_FLIGHT_WORK_S = 3_600.0
 # A key's requests count as at most so many mean requests each, and at least one in so
 # many.
@@ -76,7 +76,7 @@
         for item in report.targets:
             work_s = item.in_flight_work_ms / 1000
             if not isfinite(work_s) or not 0 <= work_s <= MAX_IN_FLIGHT_WORK_S:
-                self._drop(report.vm, "in_flight_work", item.target, work_s, now)
+                self.drop(report.vm, "in_flight_work", item.target, work_s, now)
             elif work_s and item.in_flight:
                 in_flight_s[item.target] = work_s
             if item.speed_count:
@@ -84,13 +84,13 @@
                 if not self.speeds.merge_report(
                     item.target, speed, item.speed_count, now
                 ):
-                    self._drop(report.vm, "speed", item.target, speed, now)
+                    self.drop(report.vm, "speed", item.target, speed, now)
         self.in_flight_s[report.vm] = in_flight_s
         for item in report.routes:
             if item.work_count and not self.costs.merge_report(
                 item.service, item.route, item.work_ms / 1000, item.work_count, now
             ):
-                self._drop(report.vm, "cost", item.route, item.work_ms, now)
+                self.drop(report.vm, "cost", item.route, item.work_ms, now)
 
     def weigh_keys(self, counts: pb.KeyCounts, vm: str, now: float) -> list[float]:
         """Return the requests by key as numbers of requests with mean work."""
@@ -104,7 +104,7 @@
         ):
             work_s = work_ms / 1000
             if not 0 < work_s <= MAX_WORK_S * count:
-                self._drop(vm, "key_work", key, work_s, now)
+                self.drop(vm, "key_work", key, work_s, now)
                 weights.append(float(count))
                 continue
             if before_s is not None:
@@ -122,12 +122,18 @@
             return None
         return mean.mean_s / speed
 
-    def centre(self, targets_by_service: Iterable[tuple[str, list[str]]], now: float):
-        """Keep the mean speed of each service's targets near 1."""
+    def centre(
+        self, targets_by_service: Iterable[tuple[str, list[str]]], now: float
+    ) -> None:
+        """Keep the mean speed of each service's targets near 1; forget others."""
+        present: set[str] = set()
         for service, names in targets_by_service:
+            present.update(names)
             self.speeds.centre(service, names, now)
             for name in names:
                 self._log_speed(service, name, now)
+        self.speeds.remove_all_except(present)
+        self.slow &= present
         self.costs.remove_old(now)
 
     def _log_speed(self, service: str, target: str, now: float) -> None:
@@ -160,9 +166,10 @@
             if cost_s is not None:
                 yield service, route, cost_s
 
-    def _drop(
+    def drop(
         self, vm: str, figure: str, name: object, value: float, now: float
     ) -> None:
+        """Count and log a figure of a VM that can't be true."""
         self.dropped += 1
         if self.log is not None and now >= self.logged_at + DROPPED_LOG_S:
             self.logged_at = now
@@ -189,7 +196,9 @@
         names = list(names)
         totals = work.totals_s()
         speeds = [work.speeds.current(name, now) for name in names]
-        self.work_ms = [round(1000 * totals[name]) for name in names]
+        self.work_ms = [
+            round(1000 * min(totals[name], MAX_IN_FLIGHT_WORK_S)) for name in names
+        ]
         # 0 stands for a target without samples.
         self.speeds_permille = [round(1000 * (speed or 0.0)) for speed in speeds]
         self.routes = [
--- a/packages/gateway/tests/test_coldtargets.py
+++ b/packages/gateway/tests/test_coldtargets.py
@@ -9,11 +9,14 @@
 
 import pytest
 
+from peridot_gateway import coldtargets as coldtargets_module
 from peridot_gateway.coldtargets import TERM_DELAY_S, ColdTargets
 from peridot_ownership.ranges import RangeTable
 from peridot_placement.decisions import MemoryDecisionLog
 from peridot_resources.configuration import ServiceConfiguration, TargetInstance
-from peridot_routing.outcomes import NotRun, Reason
+from peridot_routing.outcomes import Answered, NotRun, Reason, Unknown
+from peridot_scheduling import cold_starts as cold_starts_module
+from peridot_scheduling.cold_starts import Allowance, find_limits
 from peridot_wire import peridot_pb2 as pb
 
 RATE, FACTOR, SLACK, COLD_S = 4.5, 1.5, 8.0, 8.0
@@ -263,6 +266,47 @@
         assert all(is_cold) if len(reporters) > 1 else not any(is_cold)
 
 
+@pytest.mark.parametrize("reason", [Reason.DEADLINE, Reason.CONNECTION_LOST])
+def test_a_target_that_stays_silent_has_not_returned(reason):
+    """Guards against a time that ends before the target responds for the first time."""
+    fleet = Fleet(8, True, 5.0)
+    vm = fleet.vms["v1"]
+    for _ in range(3):
+        vm.record_outcome(TARGET, NotRun(Reason.CONNECTION_REFUSED))
+        fleet.now += 0.4
+    vm.record_outcome(TARGET, Unknown(reason))
+    fleet.now += 0.5
+    (report,) = vm.build_reports()
+    assert report.cold_left_ms > 1000 * COLD_S
+    vm.record_outcome(TARGET, Answered(200, (), b"", "t"))
+    fleet.now += 1.0
+    (report,) = vm.build_reports()
+    assert report.cold_left_ms < 1000 * COLD_S
+
+
+def test_nothing_is_kept_of_targets_and_vms_that_left():
+    """Guards against a placer that grows while targets and VMs come and go."""
+    fleet = Fleet(8, True, 30.0)
+    fleet.run(TERM_DELAY_S + 1.0)
+    fleet.turn_cold()
+    fleet.run(1.0)
+    fleet.vms["v1"].record_outcome(TARGET, NotRun(Reason.CONNECTION_REFUSED))
+    placer = fleet.vms["v0"]
+    placer.reporters["t"], placer.fallback_checks["t"] = (
+        {"v1": fleet.now},
+        (fleet.now, True),
+    )
+    placer.allowances["t"] = Allowance()
+    assert placer.allotment.demand and placer.members and placer.entries
+    for vm in fleet.vms:
+        placer.remove_vm(vm)
+    placer.targets.targets.clear()
+    placer.update()
+    assert not placer.allotment.demand and not placer.members
+    assert not placer.entries and not placer.times.targets
+    assert not placer.allowances and not placer.fallback_checks and not placer.reporters
+
+
 def test_a_zone_that_returns_is_cold():
     """Guards against full load on targets that turned cold during an evacuation."""
     fleet = Fleet(8, True, 5.0)
@@ -289,6 +333,45 @@
     assert 1 <= fleet.peak(began, fleet.now) <= LIMIT
 
 
+def test_senders_of_many_targets_are_chosen_over_time(monkeypatch):
+    """Guards against a placer that stands still when a large zone returns."""
+    fleet = Fleet(8, False, 5.0)
+    fleet.run(TERM_DELAY_S + 1.0)
+    placer, calls = fleet.vms["v0"], []
+    choose = cold_starts_module.choose_senders
+    monkeypatch.setattr(
+        cold_starts_module, "choose_senders", lambda *a: calls.append(a) or choose(*a)
+    )
+    for i in range(120):
+        target = replace(TARGET, name=f"t{i}", warm_up_left_s=COLD_S)
+        placer.targets.targets[target.name] = target
+    placer.update()
+    for passes in range(1, 5):
+        placer._refresh(fleet.now)
+        assert len(calls) == min(120, passes * 50)
+    senders = [shares.senders for shares in placer.allotment.targets.values()]
+    assert [len(names) for names in senders] == [2] * 120
+
+
+def test_the_limits_of_a_service_are_computed_once(monkeypatch):
+    """Guards against a processor time per request that grows with the targets."""
+    calls = []
+    monkeypatch.setattr(
+        coldtargets_module, "find_limits", lambda *a: calls.append(a) or find_limits(*a)
+    )
+    vm = Fleet(1, False, 5.0).vms["v0"]
+    for _ in range(9):
+        assert vm.may_send(TARGET, 0.5)
+    # Nothing is kept of a target that was never cold.
+    assert len(calls) == 1 and not vm.times.targets
+    services = {"files": ServiceConfiguration("files", False, 100, 1.0, COLD_S, 9.0)}
+    vm.configuration.configuration = SimpleNamespace(services=services)
+    assert vm.find_limits("files").rate == 9.0 and len(calls) == 2
+    vm.set_limits(2.0, 0.0)
+    assert vm.find_limits("files").limit == 18.0
+    assert vm.find_limits("unknown") is None
+
+
 def test_nothing_is_limited_without_the_settings():
     """Guards against limits where a deployment asks for none."""
     fleet = Fleet(2, True, 5.0)
--- a/packages/gateway/tests/test_fleetwork.py
+++ b/packages/gateway/tests/test_fleetwork.py
@@ -7,14 +7,20 @@
 
 import pytest
 
+from peridot_gateway.coldtargets import ColdTargets
 from peridot_gateway.estimates import Estimates
 from peridot_gateway.fleetload import FleetLoad
-from peridot_gateway.fleetwork import add_work_report, apply_work_state
+from peridot_gateway.fleetwork import (
+    MAX_IN_FLIGHT_WORK_S,
+    WorkState,
+    add_work_report,
+    apply_work_state,
+)
 from peridot_gateway.messages import serialize_keys
 from peridot_ownership.planner import PlanInput, plan_moves
 from peridot_ownership.ranges import KEY_SPACE, KeyRange, RangeTable
 from peridot_placement.decisions import MemoryDecisionLog
-from peridot_resources.configuration import Route, TargetInstance
+from peridot_resources.configuration import Route, ServiceConfiguration, TargetInstance
 from peridot_wire import peridot_pb2 as pb
 
 SLOTS = 3
@@ -199,6 +205,34 @@
     assert load.loads_of("s").profile(5.0).keys == [1]
 
 
+@pytest.mark.parametrize("busy_ms", (nan, inf, -5.0, 0.0, 1e300))
+def test_a_processing_time_that_cannot_be_true_is_dropped(busy_ms):
+    """Guards against capacities of 0 or not a number, which end the placer's term."""
+    load = make_load()
+    for vm, value in (("good", 300.0), ("bad", busy_ms)):
+        report = pb.FleetReport(vm=vm)
+        report.targets.add(target="t", busy_ms=value, busy_count=3)
+        load.record_report(report)
+    assert load.processing_s("t") == pytest.approx(0.1)
+    assert load.work.dropped == 1
+
+
+def test_key_counts_of_different_lengths_are_dropped():
+    """Guards against a report whose other figures are lost, as well as the link."""
+    load = make_load()
+    services = {"s": ServiceConfiguration("s", True, 100, 1.0, 8.0, 4.5)}
+    source = SimpleNamespace(configuration=SimpleNamespace(services=services))
+    load.cold = ColdTargets("v", source, load.targets, load.work.log)
+    load.cold.set_limits(1.5, 8.0)
+    load.cold.cold_services = {"s"}
+    report = pb.FleetReport(vm="bad")
+    report.keys.add(service="s", keys=[1, 2], counts=[1])
+    report.targets.add(target="t", in_flight=3)
+    load.record_report(report)
+    assert load.in_flight["bad"] == {"t": 3}
+    assert load.work.dropped == 1
+
+
 def test_the_work_of_a_vm_that_left_is_dropped():
     """Guards against targets that look busy with requests of a VM that is gone."""
     load = make_load()
@@ -210,6 +244,45 @@
     assert load.work.totals_s() == {"t": 0.2}
 
 
+def test_figures_of_targets_that_left_are_dropped():
+    """Guards against a placer that grows while targets come and go."""
+    load = make_load()
+    report = pb.FleetReport(vm="v1")
+    for name in ("t", "left"):
+        report.targets.add(
+            target=name, speed_permille=300, speed_count=9, busy_ms=90, busy_count=1
+        )
+    load.record_report(report)
+    load.work.slow.add("left")
+    load.share_work(Estimates(clock=lambda: 5.0))
+    assert load.work.speeds.targets.keys() == {"t"}
+    assert load.processing_times.keys() == {"t"} and load.work.slow == {"t"}
+
+
+def test_the_work_of_many_vms_fits_the_message():
+    """Guards against a sum that ends the links to all members."""
+    load, work = make_load(), WorkState()
+    for number in range(1_300):
+        load.work.in_flight_s[f"v{number}"] = {"t": MAX_IN_FLIGHT_WORK_S}
+    work.update(load.work, ["t"], 5.0)
+    state = pb.FleetState()
+    work.add_to(state)
+    estimates = Estimates(clock=lambda: 5.0)
+    estimates.set_in_flight({"t": 9}, {})
+    apply_work_state(estimates, ["t"], state)
+    assert estimates.get("t").others_work_s == MAX_IN_FLIGHT_WORK_S
+
+
+def test_targets_of_evacuated_zones_are_no_capacity():
+    """Guards against shares of routes for slots that get no requests."""
+    load = make_load()
+    load.targets.of_service = load.targets.by_service.get
+    load.evacuations = SimpleNamespace(is_evacuated=lambda target: True)
+    assert list(load.shares.targets_of("s")) == []
+    load.evacuations = SimpleNamespace(is_evacuated=lambda target: False)
+    assert len(load.shares.targets_of("s")) == 1
+
+
 def test_work_of_other_vms_counts_until_the_figures_are_old():
     """Guards against a VM without a placer that believes old figures."""
     now = [10.0]
--- a/packages/scheduling/peridot_scheduling/cold_starts.py
+++ b/packages/scheduling/peridot_scheduling/cold_starts.py
@@ -35,16 +35,19 @@
 # No permits are issued for this time (s) after a target turned cold: requests of the
 # last second count against the limit too.
 QUIET_S = 1.0
+# Targets whose senders are chosen at once: a choice takes a hash for each VM of a zone,
+# and thousands of targets may turn cold together.
+MAX_CHOICES = 50
 # Callers wait for about this time (s); later permits would be wasted.
 DEMAND_S = 0.5
-# A VM without a placer sends this share of the rate if it is the chosen sender.
-ALONE_SHARE = 0.25
+# Without a placer, the chosen sender sends this share of the rate.
+FALLBACK_SHARE = 0.25
 # Failures of a target within less time (s) aren't counted as one that was unreachable.
 UNREACHABLE_S = 0.5
 # A target that was unreachable for one VM counts as cold there for this time (s) after
 # the last failure and after the first response, until the placer has decided. One VM
 # alone may have been cut off itself.
-OPINION_S = 1.0
+SUSPICION_S = 1.0
 # After the cold time, the share of requests that may be sent rises to 1 in this time
 # (s).
 RAMP_S = 2.0
@@ -154,7 +157,7 @@
     since: float = -inf
     until: float = -inf
     # Until when it may be cold by what this VM alone saw.
-    opinion_until: float = -inf
+    suspected_until: float = -inf
     # First and last failure without a response in between.
     failing_since: float | None = None
     failed_at: float = -inf
@@ -174,9 +177,9 @@
 
     def set_cold(self, target: str, left_s: float, now: float) -> None:
         """Count a target as cold for a time, or for longer if it is already."""
-        item = self.get(target)
         if not (isfinite(left_s) and left_s > 0):
             return
+        item = self.get(target)
         if item.until <= now:
             item.since = now
         item.until = max(item.until, now + left_s)
@@ -186,11 +189,11 @@
         item = self.targets.get(target)
         return max(0.0, item.until - now) if item else 0.0
 
-    def is_doubtful(self, target: str, now: float) -> bool:
+    def is_suspected(self, target: str, now: float) -> bool:
         """Return whether a target may be cold by what this VM alone saw."""
         item = self.targets.get(target)
         return item is not None and (
-            now < item.opinion_until or self._is_unreachable(item, now)
+            now < item.suspected_until or self._is_unreachable(item, now)
         )
 
     def ramp_share(self, target: str, now: float) -> float:
@@ -215,7 +218,7 @@
         if item is None or item.failing_since is None:
             return
         if item.failed_at - item.failing_since >= UNREACHABLE_S:
-            item.returned_at, item.opinion_until = now, now + OPINION_S
+            item.returned_at, item.suspected_until = now, now + SUSPICION_S
         item.failing_since = None
 
     def reported_left_s(self, target: str, cold_s: float, now: float) -> float:
@@ -237,7 +240,7 @@
         return (
             item.failing_since is not None
             and item.failed_at - item.failing_since >= UNREACHABLE_S
-            and now < item.failed_at + OPINION_S
+            and now < item.failed_at + SUSPICION_S
         )
 
 
@@ -248,15 +251,17 @@
     bucket: TokenBucket | None = None
     assigned_until: float = -inf
     permit_until: float = -inf
+    # Until when the permit was good that the last request took, if it took one.
+    taken_permit_until: float = -inf
     # Whether this VM assigned the rate itself, without a placer.
-    alone: bool = False
+    fallback: bool = False
 
-    def assign(self, rate: float, now: float, alone: bool = False) -> None:
+    def assign(self, rate: float, now: float, fallback: bool = False) -> None:
         """Set the rate that is assigned; a new sender begins without a burst."""
-        lapsed = self.assigned_until <= now and not alone
-        if self.bucket is None or lapsed or alone != self.alone:
+        lapsed = self.assigned_until <= now and not fallback
+        if self.bucket is None or lapsed or fallback != self.fallback:
             self.bucket = TokenBucket(rate, now)
-        self.bucket.rate, self.alone = rate, alone
+        self.bucket.rate, self.fallback = rate, fallback
         self.assigned_until = now + ASSIGNMENT_S
 
     def permit(self, now: float) -> None:
@@ -273,12 +278,21 @@
     def take(self, now: float) -> bool:
         """Take the allowance of a request, if there is one."""
         if now < self.permit_until:
-            self.permit_until = -inf
+            self.taken_permit_until, self.permit_until = self.permit_until, -inf
             return True
+        self.taken_permit_until = -inf
         return self.may_send(now) and self.bucket.take(now)
 
+    def give_back(self) -> None:
+        """Undo the last take, at the same time; its request isn't sent."""
+        if self.taken_permit_until > -inf:
+            self.permit_until = max(self.permit_until, self.taken_permit_until)
+            self.taken_permit_until = -inf
+        elif self.bucket is not None:
+            self.bucket.tokens = min(self.bucket.burst, self.bucket.tokens + 1.0)
+
 
-def is_sender_alone(target: str, vm: str, known_vms: Iterable[str]) -> bool:
+def is_fallback_sender(target: str, vm: str, known_vms: Iterable[str]) -> bool:
     """Return whether a VM without a placer is the one that sends to a target."""
     return choose_senders(target, "", dict.fromkeys(known_vms, ""), 1) == [vm]
 
@@ -300,6 +314,8 @@
     targets: dict[str, _TargetShares] = field(default_factory=dict)
     # Requests that wait by VM and target, and when they were reported.
     demand: dict[str, dict[str, tuple[int, float]]] = field(default_factory=dict)
+    # Targets whose senders may be chosen before the next call of allow_choices.
+    choices_left: int = MAX_CHOICES
 
     def add_target(self, target: str, limits: ColdLimits, since: float) -> None:
         """Add a target that has been cold since a time."""
@@ -309,6 +325,10 @@
             )
             self.targets[target] = _TargetShares(permits)
 
+    def allow_choices(self) -> None:
+        """Allow the choice of senders of some more targets."""
+        self.choices_left = MAX_CHOICES
+
     def update_senders(
         self,
         target: str,
@@ -324,8 +344,9 @@
         lost = len(shares.senders) - len(kept)
         pending = [at for at in shares.free_from if at > now]
         pending += [now + REASSIGNMENT_DELAY_S] * lost
-        free = max(0, count - len(kept) - len(pending))
-        if free:
+        free = min(count - len(pending), len(vms)) - len(kept)
+        if free > 0 and self.choices_left > 0:
+            self.choices_left -= 1
             others = {vm: vms[vm] for vm in vms if vm not in kept}
             kept += choose_senders(target, zone, others, free)
         shares.senders, shares.free_from = kept, pending
@@ -354,6 +375,10 @@
         self.demand[vm][target] = waiting - 1, self.demand[vm][target][1]
         return True
 
+    def remove_vm(self, vm: str) -> None:
+        """Forget the requests that waited at a VM that left."""
+        self.demand.pop(vm, None)
+
     def remove_all_except(self, names: Iterable[str]) -> None:
         """Forget targets that aren't cold."""
         for name in self.targets.keys() - set(names):
