--- a/packages/gateway/peridot_gateway/estimates.py
+++ b/packages/gateway/peridot_gateway/estimates.py
@@ -221,6 +221,8 @@
     speeds: Speeds = field(default_factory=Speeds)
     # Expected work of requests by service and key since the last report (s).
     key_work: dict[str, Counter[int]] = field(default_factory=dict)
+    # When the requests in flight from all VMs were last set (s).
+    shared_at: float = float("-inf")
     clock: Callable[[], float] = monotonic
 
     def get(self, target: str) -> TargetEstimate:
@@ -341,9 +343,13 @@
             dropped += not self.costs.set_shared(service, route, cost_s, now)
         return dropped
 
+    def has_fleet_figures(self) -> bool:
+        """Return whether the requests in flight from all VMs are known."""
+        return self.clock() - self.shared_at < OTHERS_MAX_AGE_S
+
     def set_in_flight(self, totals: Mapping[str, int], own: Mapping[str, int]) -> None:
         """Set the requests in flight from all VMs, and this VM's part of them."""
-        now = self.clock()
+        now = self.shared_at = self.clock()
         for name in self.targets.keys() | totals.keys():
             estimate = self.get(name)
             previous = estimate.others_in_flight
--- a/packages/gateway/peridot_gateway/main.py
+++ b/packages/gateway/peridot_gateway/main.py
@@ -26,7 +26,10 @@
     log_level: str = "info",
 ) -> int:
     """Run a gateway with settings until a signal to stop; return the exit code."""
+    # What the imports left stays until the process ends.
+    gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
+    gc.enable()
     with open_log(log_level) as handler:
         lines = LogbookDecisionLog(settings.vm, 1.0, random.Random())
         log = BoundedDecisionLog(lines)
--- a/packages/gateway/peridot_gateway/picker.py
+++ b/packages/gateway/peridot_gateway/picker.py
@@ -54,6 +54,9 @@
         aren't known.
         """
         now = self.estimates.clock()
+        if not self.estimates.has_fleet_figures():
+            # Local targets may have more to do than this VM can tell.
+            objective_left_s = None
         draw = self.rng.random() if self.cold is not None else 0.0
         usable = [
             t
