Bound cold times to an hour

A huge warmupS of a service didn't fit the fields of reports and states, which ended the links between the placer and its members.

test_a_huge_cold_time_fits_the_messages fails without the change.

--- a/packages/gateway/peridot_gateway/coldtargets.py
+++ b/packages/gateway/peridot_gateway/coldtargets.py
@@ -21,6 +21,7 @@
 from peridot_scheduling.cold_starts import (
     ASSIGNMENT_S,
     FALLBACK_SHARE,
+    MAX_COLD_S,
     Allotment,
     Allowance,
     ColdLimits,
@@ -302,7 +303,8 @@
 
     def _set_cold(self, target: TargetInstance, left_s: float, cause: str) -> None:
         now = self.clock()
-        max_s = MAX_COLD_FACTOR * self._find_service(target.service).cold_s
+        cold_s = self._find_service(target.service).cold_s
+        max_s = min(MAX_COLD_FACTOR * cold_s, MAX_COLD_S)
         if left_s > max_s:
             if target.name not in self.logged:
                 self.log.write("cold_time_bounded", target=target.name, left_s=left_s)
--- a/packages/gateway/tests/test_coldtargets.py
+++ b/packages/gateway/tests/test_coldtargets.py
@@ -16,7 +16,7 @@
 from peridot_resources.configuration import ServiceConfiguration, TargetInstance
 from peridot_routing.outcomes import Answered, NotRun, Reason, Unknown
 from peridot_scheduling import cold_starts as cold_starts_module
-from peridot_scheduling.cold_starts import Allowance, find_limits
+from peridot_scheduling.cold_starts import MAX_COLD_S, Allowance, find_limits
 from peridot_wire import peridot_pb2 as pb
 
 RATE, FACTOR, SLACK, COLD_S = 4.5, 1.5, 8.0, 8.0
@@ -372,6 +372,24 @@
     assert vm.find_limits("unknown") is None
 
 
+def test_a_huge_cold_time_fits_the_messages():
+    """Guards against an error of a configuration that ends the links of all VMs."""
+    fleet = Fleet(8, True, 5.0)
+    service = ServiceConfiguration("files", True, 100, 1.0, 1e12, RATE)
+    fleet.configuration.configuration = SimpleNamespace(services={"files": service})
+    placer = fleet.vms["v0"]
+    placer.record_zone_return("z1")
+    assert any("event=cold_time_bounded" in line for line in fleet.log.lines)
+    placer.reported.add("t")
+    (share,) = placer.build_shares("v1", 1, fleet.tables)
+    for _ in range(2):
+        placer.record_outcome(TARGET, NotRun(Reason.CONNECTION_REFUSED))
+        fleet.now += 0.5
+    (report,) = placer.build_reports()
+    assert 0 < share.left_ms <= 1 + 1000 * MAX_COLD_S
+    assert 0 < report.cold_left_ms <= 1 + 1000 * MAX_COLD_S
+
+
 def test_nothing_is_limited_without_the_settings():
     """Guards against limits where a deployment asks for none."""
     fleet = Fleet(2, True, 5.0)
--- a/packages/scheduling/peridot_scheduling/cold_starts.py
+++ b/packages/scheduling/peridot_scheduling/cold_starts.py
@@ -48,6 +48,8 @@
 # the last failure and after the first response, until the placer has decided. One VM
 # alone may have been cut off itself.
 SUSPICION_S = 1.0
+# Longer cold times (s) are errors; messages have room for 49 days.
+MAX_COLD_S = 3_600.0
 # After the cold time, the share of requests that may be sent rises to 1 in this time
 # (s).
 RAMP_S = 2.0
@@ -182,7 +184,7 @@
         item = self.get(target)
         if item.until <= now:
             item.since = now
-        item.until = max(item.until, now + left_s)
+        item.until = max(item.until, now + min(left_s, MAX_COLD_S))
 
     def left_s(self, target: str, now: float) -> float:
         """Return for how much longer a target is cold, 0 if it isn't."""
@@ -228,8 +230,8 @@
             return 0.0
         if self._is_unreachable(item, now):
             # The time begins with its first response.
-            return cold_s
-        return max(0.0, item.returned_at + cold_s - now)
+            return min(cold_s, MAX_COLD_S)
+        return max(0.0, item.returned_at + min(cold_s, MAX_COLD_S) - now)
 
     def remove_all_except(self, names: Iterable[str]) -> None:
         """Forget other targets."""
