Take only a last coding of chunked for a body with an end of its own

A response with Transfer-Encoding xchunked, or with a coding behind chunked, ends with its connection. The text "chunked" in the header was taken for framing, so that a body that was reset looked complete to the caller. Three further cases of test_a_response_that_breaks_off_does_not_look_complete failed before and pass now.

--- a/packages/gateway/peridot_gateway/streams.py
+++ b/packages/gateway/peridot_gateway/streams.py
@@ -70,12 +70,10 @@
     @property
     def is_framed(self) -> bool:
         """Return whether the body has an end of its own, not the connection's."""
-        encoding = self.response.headers.get("Transfer-Encoding", "")
-        return (
-            self.is_empty
-            or self.response.content_length is not None
-            or "chunked" in encoding.lower()
-        )
+        if self.is_empty or self.response.content_length is not None:
+            return True
+        codings = ",".join(self.response.headers.getall("Transfer-Encoding", ()))
+        return codings.rpartition(",")[2].strip().lower() == "chunked"
 
     def has_proven_end(self) -> bool:
         """Return whether the body is whole once all of it has been read.
--- a/packages/gateway/tests/test_streams.py
+++ b/packages/gateway/tests/test_streams.py
@@ -193,6 +193,13 @@
     # All chunks but the last, which is empty.
     (CHUNKED + b"%x\r\n%b\r\n" % (SIZE, BODY), "close"),
     (UNTIL_CLOSE + PART, "reset"),
+    # The body ends with the connection unless chunked is the last coding.
+    (OK + b"Transfer-Encoding: xchunked\r\n\r\n" + PART, "reset"),
+    (OK + b"Transfer-Encoding: chunked, gzip\r\n\r\n" + PART, "reset"),
+    (
+        OK + b"Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n\r\n" + PART,
+        "reset",
+    ),
 ]
 
 
