--- a/packages/fakes/tests/test_adapter.py
+++ b/packages/fakes/tests/test_adapter.py
@@ -157,6 +157,8 @@
         ("\u0661", None),
         ("1e300", None),
         ("000", 0.0),
+        # The shortest text of some binary numbers, as servers write them.
+        ("0.30000000000000004", 0.30000000000000004),
         ("soon", None),
         ("Fri, 04 Dec 2026 15:00:00 GMT", None),
         ("", None),
