--- a/packages/gateway/peridot_gateway/sender.py
+++ b/packages/gateway/peridot_gateway/sender.py
@@ -141,19 +141,24 @@
 
 
 @asynccontextmanager
-async def silence_timeout(
-    estimate: TargetEstimate, timeout_s: float, may_give_up: Callable[[], bool]
+async def attempt_timeout(
+    estimate: TargetEstimate,
+    total_s: float,
+    timeout_s: float,
+    may_give_up: Callable[[], bool],
 ) -> AsyncIterator[None]:
-    """Raise TimeoutError after a time (s) in which the target is silent.
+    """Raise TimeoutError after a total time (s), or one in which the target is silent.
 
-    Responses to other requests extend it, and so does a request that must not be given
-    up.
+    Responses to other requests extend the latter, and so does a request that must not
+    be given up.
     """
     loop = asyncio.get_running_loop()
-    async with asyncio.timeout(None) as timeout:
+    async with asyncio.timeout(total_s) as timeout:
 
         def check() -> None:
             nonlocal handle
+            if timeout.expired():
+                return
             silent_s = monotonic() - estimate.last_response_at
             if silent_s > timeout_s / 2 and may_give_up():
                 timeout.reschedule(loop.time())
@@ -238,11 +243,17 @@
             )
             ahead = estimate.total_in_flight(began)
             ahead_s = estimate.work_ahead_s(target.slots, began)
-            silence = silence_timeout(estimate, silence_timeout_s, may_give_up)
             session = await exchange.enter_async_context(connections.use_session())
             with use_connection(use):
                 result = await self._send(
-                    session, request, target, silence, silence_timeout_s, exchange
+                    session,
+                    request,
+                    target,
+                    lambda total_s: attempt_timeout(
+                        estimate, total_s, silence_timeout_s, may_give_up
+                    ),
+                    silence_timeout_s,
+                    exchange,
                 )
             max_idle = self._max_idle_connections(request.service)
             session.connector.close_idle_beyond(max_idle)
@@ -380,11 +391,11 @@
         session: ClientSession,
         request: GatewayRequest,
         target: TargetInstance,
-        silence: AbstractAsyncContextManager[None],
+        limit_time: Callable[[float], AbstractAsyncContextManager[None]],
         silence_timeout_s: float,
         exchange: AsyncExitStack,
     ) -> AttemptResult:
-        """Send a request; leave the response to the exchange if it is a stream."""
+        """Send a request; the exchange releases the response."""
         remaining_s = request.remaining_s() - DEADLINE_MARGIN_S
         if remaining_s <= 0:
             return AttemptResult(NotRun(Reason.DEADLINE))
@@ -401,12 +412,8 @@
             if request.upload.length is not None:
                 headers["Content-Length"] = str(request.upload.length)
         try:
-            async with (
-                silence,
-                asyncio.timeout(remaining_s),
-                AsyncExitStack() as response_exit,
-            ):
-                response = await response_exit.enter_async_context(
+            async with limit_time(remaining_s):
+                response = await exchange.enter_async_context(
                     session.request(
                         request.method,
                         URL(f"http://{target.address}{request.path}", encoded=True),
@@ -417,12 +424,9 @@
                         read_bufsize=READ_BUFFER_BYTES,
                     )
                 )
-                result = await self._read_response(
+                return await self._read_response(
                     response, request, target, silence_timeout_s
                 )
-                if result.stream is not None:
-                    exchange.push_async_exit(response_exit.pop_all())
-                return result
         except ClientConnectorError as error:
             return AttemptResult(NotRun(Reason.CONNECTION_REFUSED, detail=str(error)))
         except ConnectionTimeoutError:
