Find a body's framing once, and no speed while a target has free slots

The framing was read from the headers three times for each response, and a target's speed computed for a wait that is none.

--- a/packages/gateway/peridot_gateway/estimates.py
+++ b/packages/gateway/peridot_gateway/estimates.py
@@ -176,6 +176,8 @@
     def expected_wait_s(self, slots: int, now: float) -> float:
         """Return how long a new request would wait for a slot (s)."""
         total = self.total_in_flight(now)
+        if total < slots:
+            return 0.0
         if not self.speed.samples:
             return expected_wait_s(total * self.processing_s, total, slots, 1.0)
         speed = self.speed.current(now)
@@ -184,6 +186,8 @@
     def work_ahead_s(self, slots: int, now: float) -> float:
         """Return the work per slot that a new request waits for (s)."""
         total = self.total_in_flight(now)
+        if total < slots:
+            return 0.0
         return expected_wait_s(self.total_work_s(now), total, slots, 1.0)
 
     def expected_processing_s(self, cost_s: float | None, now: float) -> float:
--- a/packages/gateway/peridot_gateway/streams.py
+++ b/packages/gateway/peridot_gateway/streams.py
@@ -54,10 +54,17 @@
 
     response: ClientResponse
     method: str
+    # Whether the body has an end of its own, not the connection's.
+    is_framed: bool = field(init=False)
     # Completed when the connection has been closed; None if the body has its own end.
     closed: asyncio.Future[None] | None = field(init=False, default=None)
 
     def __post_init__(self) -> None:
+        self.is_framed = (
+            self.is_empty
+            or self.response.content_length is not None
+            or self._is_chunked()
+        )
         connection = self.response.connection
         if not self.is_framed and connection is not None:
             self.closed = connection.protocol.closed
@@ -67,11 +74,7 @@
         """Return whether the response has no body whatever its headers say."""
         return self.method == "HEAD" or self.response.status in BODYLESS_STATUSES
 
-    @property
-    def is_framed(self) -> bool:
-        """Return whether the body has an end of its own, not the connection's."""
-        if self.is_empty or self.response.content_length is not None:
-            return True
+    def _is_chunked(self) -> bool:
         codings = ",".join(self.response.headers.getall("Transfer-Encoding", ()))
         return codings.rpartition(",")[2].strip().lower() == "chunked"
 
