--- a/packages/gateway/peridot_gateway/owners.py
+++ b/packages/gateway/peridot_gateway/owners.py
@@ -1,6 +1,6 @@
 """Owners: this VM's view of which target owns which keys."""
 
-from bisect import bisect_right
+from bisect import bisect_left, bisect_right
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
@@ -62,20 +62,22 @@
 
 def patch_table(table: OwnerTable, changes: Iterable[OwnerChange]) -> OwnerTable:
     """Return a table with changes applied; adjacent ranges of an owner are merged."""
-    changes = list(changes)
-    starts = {*table.starts}
+    starts, owners = list(table.starts), list(table.owners)
     for change in changes:
-        starts |= {change.start, change.end}
-    starts.discard(KEY_SPACE)
-    rows: list[tuple[int, str]] = []
-    for start in sorted(starts):
-        owner = table.find(start)
-        for change in changes:
-            if change.start <= start < change.end:
-                owner = change.owner
-        if not rows or rows[-1][1] != owner:
-            rows.append((start, owner))
-    return OwnerTable(tuple(r[0] for r in rows), tuple(r[1] for r in rows))
+        first, last = (bisect_left(starts, key) for key in (change.start, change.end))
+        new_starts, new_owners = [change.start], [change.owner]
+        if change.end < KEY_SPACE and starts[last : last + 1] != [change.end]:
+            new_starts.append(change.end)
+            new_owners.append(owners[last - 1])
+        starts[first:last], owners[first:last] = new_starts, new_owners
+    kept = [
+        index
+        for index, owner in enumerate(owners)
+        if index == 0 or owner != owners[index - 1]
+    ]
+    return OwnerTable(
+        tuple(starts[index] for index in kept), tuple(owners[index] for index in kept)
+    )
 
 
 @dataclass(frozen=True)
--- a/packages/ownership/peridot_ownership/placer.py
+++ b/packages/ownership/peridot_ownership/placer.py
@@ -160,7 +160,8 @@
 
     def _is_current(self, service: str, item: OwnedRange, keys: KeyRange) -> bool:
         moving = self.moving.get(service, ())
-        return item in self.record.tables[service].ranges and not any(
+        table = self.record.tables[service]
+        return table.find(item.keys.start) == item and not any(
             other.overlaps(keys) for other in moving
         )
 
--- a/packages/scheduling/peridot_scheduling/queueing.py
+++ b/packages/scheduling/peridot_scheduling/queueing.py
@@ -23,6 +23,9 @@
 SAMPLE_WEIGHT = 0.05
 LONGEST_WEIGHT = 0.01
 MIN_RETRY_AFTER_S = 0.1
+# On a route with few requests the next one may be admitted only in hours; demand won't
+# be the same for so long.
+MAX_RETRY_AFTER_S = 10.0
 # Callers honour Retry-After up to a third of their remaining time.
 HONOURED_SHARE = 1 / 3
 # Served and arrived requests of this VM are counted over this time.
@@ -138,7 +141,7 @@
     The spread ends where a caller still honours it and has time for the work.
     """
     honoured_s = HONOURED_SHARE * max(0.0, time_left_s - work_s)
-    earliest_s = max(MIN_RETRY_AFTER_S, earliest_s)
+    earliest_s = min(max(MIN_RETRY_AFTER_S, earliest_s), MAX_RETRY_AFTER_S)
     latest_s = max(1.5 * earliest_s, honoured_s)
     return earliest_s + position * (latest_s - earliest_s)
 
--- a/packages/scheduling/tests/test_priorities.py
+++ b/packages/scheduling/tests/test_priorities.py
@@ -359,3 +359,8 @@
     delays = [retry_delay_s(0.2, 2.0, 0.3, position / 100) for position in range(100)]
     assert min(delays) >= 0.2 and max(delays) <= 0.57
     assert max(delays) - min(delays) > 0.3
+
+
+def test_callers_of_rare_routes_are_not_sent_away_for_hours():
+    """Guards against a Retry-After of the time until the next credit, however long."""
+    assert retry_delay_s(20_000.0, 2.0, 0.1, 1.0) <= 15.0
