Extend the gateway's soak by cold targets, evacuations and large responses

The soak didn't know the parts for contended and uneven load. It now has targets that turn cold, evacuated zones, targets that are slow for a moment and say so, large responses that break off or are read slowly, routes of other priorities on the service orders and unreadable entries, drawn apart from the other faults.

--- a/packages/fakes/peridot_fakes/holdserver.py
+++ b/packages/fakes/peridot_fakes/holdserver.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import re
 from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -21,6 +22,11 @@
 NOT_RUN = {"X-Not-Executed": "1"}
 # All servers of a site that are divided by key belong to one service.
 KEYED_SERVICE = "files"
+# A path ends with the size of its response (bytes); with an odd size it is chunked.
+SIZED_PATH = re.compile(r"/media/[0-9]+/([0-9]+)")
+PIECE_BYTES = 16 * 2**10
+# A response that isn't read for this time (s) is cut off.
+UNREAD_TIMEOUT_S = 2.0
 LEASE_PATHS = ("/-/grant", "/-/release")
 
 
@@ -85,6 +91,14 @@
     shed: int = 0
     # Respond to the next so many requests with the id of another attempt.
     foreign: int = 0
+    # Break off the next so many large responses midway.
+    break_off: int = 0
+    # How many times as long work takes at this moment, and whether responses say so.
+    slowdown: float = 1.0
+    reports_slowdown: bool = False
+    zone: str = "zone-a"
+    # The server is cold until this time (s, monotonic).
+    cold_until: float = float("-inf")
     # Announce in all responses that the server is leaving.
     leaving: bool = False
     # Refuse requests until this time (s, monotonic) and ask callers to wait until then.
@@ -116,6 +130,10 @@
         self.born += 1
         self.leaving = False
 
+    def turn_cold(self, duration_s: float) -> None:
+        """Be cold for a time (s), as the server's next registration says."""
+        self.cold_until = monotonic() + duration_s
+
     def replace_identity(self, name: str, service: str) -> None:
         """Become a server of a service without keys at the same address."""
         self.name, self.service = name, service
@@ -127,11 +145,11 @@
         return {
             "service": self.service,
             "address": f"127.0.0.1:{self.registered_port or self.port}",
-            "zone": "zone-a",
+            "zone": self.zone,
             "version": "v1",
             "slots": self.slots,
             "state": state,
-            "warmupLeftS": 0,
+            "warmupLeftS": max(0.0, round(self.cold_until - monotonic(), 3)),
             "seq": 1,
             "born": self.born,
         }
@@ -156,13 +174,13 @@
         finally:
             await runner.cleanup()
 
-    async def _handle(self, request: web.BaseRequest) -> web.Response:
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         response = await self._respond(request)
-        if self.leaving:
+        if self.leaving and not response.prepared:
             response.headers["Server-Leaving"] = "1"
         return response
 
-    async def _respond(self, request: web.BaseRequest) -> web.Response:
+    async def _respond(self, request: web.BaseRequest) -> web.StreamResponse:
         if not self.divided_by_key and request.path in LEASE_PATHS:
             return web.Response(status=400)
         expected = request.headers.get("X-Expected-Instance")
@@ -188,7 +206,7 @@
             await asyncio.sleep(0.005)
         return web.Response(headers={"X-Handover": f"from-{self.name}"})
 
-    async def _run(self, request: web.BaseRequest) -> web.Response:
+    async def _run(self, request: web.BaseRequest) -> web.StreamResponse:
         body = await request.read()
         key = int(request.headers.get("X-Shard-Key", "0"))
         if self.divided_by_key and not self.holder.holds(key, monotonic()):
@@ -206,7 +224,7 @@
             self.waiting -= 1
             self.running += 1
             try:
-                await asyncio.sleep(self.processing_s)
+                await asyncio.sleep(self.processing_s * self.slowdown)
             finally:
                 self.running -= 1
         attempt_id = request.headers.get("X-Attempt-Id", "")
@@ -226,11 +244,39 @@
         if self.foreign:
             self.foreign -= 1
             attempt_id = "another"
-        return web.Response(
-            body=b"%s %s %s" % (self.name.encode(), request.path.encode(), body),
-            headers={"X-Attempt-Id": attempt_id, "X-Upstream-Signature": self.name}
-            | self._load_headers(),
-        )
+        headers = {"X-Attempt-Id": attempt_id, "X-Upstream-Signature": self.name}
+        headers |= self._load_headers()
+        body = b"%s %s %s" % (self.name.encode(), request.path.encode(), body)
+        if match := SIZED_PATH.fullmatch(request.path):
+            return await self._send_large(request, body, int(match[1]), headers)
+        return web.Response(body=body, headers=headers)
+
+    async def _send_large(
+        self, request: web.BaseRequest, body: bytes, size: int, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        """Send a body filled up to a size, or a part of it and an abort."""
+        response = web.StreamResponse(headers=headers)
+        if size % 2 == 0:
+            response.content_length = size
+        await response.prepare(request)
+        body = body.ljust(size)
+        broken = self.break_off > 0
+        self.break_off = max(0, self.break_off - 1)
+        for start in range(0, size // 2 if broken else size, PIECE_BYTES):
+            try:
+                async with asyncio.timeout(UNREAD_TIMEOUT_S):
+                    await response.write(body[start : start + PIECE_BYTES])
+            except TimeoutError:
+                broken = True
+                break
+        if broken:
+            request.transport.abort()
+        else:
+            await response.write_eof()
+        return response
 
     def _load_headers(self) -> dict[str, str]:
-        return {"X-Upstream-Load": f"{self.running},{self.waiting},{self.slots}"}
+        load = f"{self.running},{self.waiting},{self.slots}"
+        if self.reports_slowdown:
+            load += f",{int(self.slowdown * 100)}"
+        return {"X-Upstream-Load": load}
--- a/packages/fakes/peridot_fakes/objectapi.py
+++ b/packages/fakes/peridot_fakes/objectapi.py
@@ -1,7 +1,6 @@
 """Stand-in for the object API of the gateway mode's platform, with faults."""
 
 import asyncio
-import copy
 from collections import deque
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -85,12 +84,12 @@
 
     def take_copy(self) -> tuple[int, dict[tuple[str, str], dict]]:
         """Return a copy from which the store can be restored: revision and objects."""
-        return self.revision, copy.deepcopy(self.objects)
+        return self.revision, _copy(self.objects)
 
     async def restore(self, saved: tuple[int, dict[tuple[str, str], dict]]) -> None:
         """Begin a new era with the objects of a copy; revisions go back to its own."""
         self.era += 1
-        self.revision, self.objects = saved[0], copy.deepcopy(saved[1])
+        self.revision, self.objects = saved[0], _copy(saved[1])
         self.history.clear()
         async with self.changed:
             self.changed.notify_all()
@@ -229,6 +228,14 @@
     return request.match_info["kind"], request.match_info["name"]
 
 
+def _copy(objects: dict[tuple[str, str], dict]) -> dict[tuple[str, str], dict]:
+    # Specs are replaced, never changed, and those given as text can't be copied.
+    return {
+        key: {**item, "metadata": dict(item["metadata"])}
+        for key, item in objects.items()
+    }
+
+
 def _json(value: object, status: int = 200) -> web.Response:
     body = orjson.dumps(value)
     return web.Response(status=status, body=body, content_type="application/json")
--- a/packages/fakes/peridot_fakes/site.py
+++ b/packages/fakes/peridot_fakes/site.py
@@ -19,6 +19,7 @@
 
 START_TIMEOUT_S = 15.0
 POLL_PERIOD_S = 0.05
+PIECE_BYTES = 32 * 2**10
 HOST = "site.example"
 # A gateway must end within this time after a stop signal.
 GRACE_S = 3
@@ -31,6 +32,13 @@
     "stabilityWindowS=3",
     "drainS=2",
 )
+# Limits of cold and evacuated targets, in force where a site asks for them.
+WARM_UP_OVERSHOOT, WARM_UP_SLACK, EVACUATE_S = 1.5, 8, 5
+COLD_BOUNDS = (
+    f"warmupOvershoot={WARM_UP_OVERSHOOT}",
+    f"warmupSlack={WARM_UP_SLACK}",
+    f"evacuateS={EVACUATE_S}",
+)
 ROUTE_COLUMNS = (
     "name host pathPrefix routeType timeoutS targetLatencyS priority trafficSplit"
     " maxAttempts service"
@@ -44,16 +52,25 @@
 }
 
 
-def make_configuration(version: int, routes: list[list]) -> dict:
-    """Return a configuration with the services files (divided by key) and orders."""
+def make_configuration(
+    version: int, routes: list[list], warm_up: tuple[float, float] | None = None
+) -> dict:
+    """Return a configuration with the services files (divided by key) and orders.
+
+    Their targets can be cold if the time (s) and the rate (1/s) of that are given.
+    """
     services = [
         ["files", "/health", 100, "h1", False, True, 1.0],
         ["orders", "/health", 100, "h1", False, None, None],
     ]
+    columns = SERVICE_COLUMNS
+    if warm_up is not None:
+        columns = [*columns, "warmupS", "warmupPerS"]
+        services = [[*row, *warm_up] for row in services]
     return {
         "version": version,
         "routes": {"columns": ROUTE_COLUMNS, "rows": routes},
-        "services": {"columns": SERVICE_COLUMNS, "rows": services},
+        "services": {"columns": columns, "rows": services},
         "limits": LIMITS,
     }
 
@@ -85,6 +102,9 @@
         self.store_ports: dict[str, int] = {}
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.settings: dict[str, dict] = {}
+        # Bounds beside BOUNDS, and the zones of VMs that aren't in zone-a.
+        self.more_bounds: tuple[str, ...] = ()
+        self.zones: dict[str, str] = {}
 
     def log(self, name: str) -> str:
         """Return the log of a gateway."""
@@ -129,13 +149,13 @@
         return {
             "node": name,
             "ip": "127.0.0.1",
-            "zone": "zone-a",
+            "zone": self.zones.get(name, "zone-a"),
             "listen": {
                 "front": f"127.0.0.1:{free_ports(1)[0]}",
                 "ready": f"127.0.0.1:{free_ports(1)[0]}",
             },
             "internalPortRange": [free_ports(1)[0], free_ports(1)[0]],
-            "bounds": list(BOUNDS),
+            "bounds": [*BOUNDS, *self.more_bounds],
             "platform": {"address": f"127.0.0.1:{self.store_ports[name]}"},
         }
 
@@ -196,9 +216,18 @@
         await self.api.put("servers", successor, server.make_registration())
 
     async def send(
-        self, gateway: str, method: str, path: str, key: int = 0, **options
+        self,
+        gateway: str,
+        method: str,
+        path: str,
+        key: int = 0,
+        pause_s: float = 0.0,
+        **options,
     ) -> tuple[int, bytes, dict[str, str], str]:
-        """Send a request; return status, body, headers and the attempt's id."""
+        """Send a request; return status, body, headers and the attempt's id.
+
+        The body is read in pieces, with a pause (s) after each.
+        """
         attempt_id = uuid4().hex[:16]
         headers = {
             "Host": HOST,
@@ -210,7 +239,10 @@
         async with self.session.request(
             method, url, headers=headers, **options
         ) as response:
-            body = await response.read()
+            body = b""
+            async for piece in response.content.iter_chunked(PIECE_BYTES):
+                body += piece
+                await asyncio.sleep(pause_s)
             return response.status, body, dict(response.headers), attempt_id
 
     async def read_metrics(self, gateway: str) -> str:
--- a/packages/fakes/peridot_fakes/sitechecks.py
+++ b/packages/fakes/peridot_fakes/sitechecks.py
@@ -9,7 +9,13 @@
 
 from peridot_fakes.disturbances import STORE
 from peridot_fakes.journals import find_runs_that_span_owners
-from peridot_fakes.sitestate import GATEWAYS, STABILITY_WINDOW_S, SoakState
+from peridot_fakes.site import WARM_UP_OVERSHOOT, WARM_UP_SLACK
+from peridot_fakes.sitestate import (
+    COLD_RATE,
+    GATEWAYS,
+    STABILITY_WINDOW_S,
+    SoakState,
+)
 
 CHECK_PERIOD_S = 0.02
 # Within this time each key is served again after all faults have ended; longer than
@@ -19,6 +25,8 @@
 CONFIGURATION_DELAY_S = 2.0
 # A server gets no new requests this long after it was stored as draining.
 DRAIN_S = 2.0
+# Requests that a cold server may get in any second.
+COLD_LIMIT = int(COLD_RATE * WARM_UP_OVERSHOOT + WARM_UP_SLACK)
 EVENT = re.compile(r"event=(\w+)(?:.* version=(\d+))?")
 
 
@@ -127,6 +135,30 @@
             if runs[attempt] > 1:
                 self.state.verdict.record_problem("orders_run_twice", attempt)
 
+    def check_cold_servers(self) -> None:
+        """Check that no cold server got more than the limit in any second."""
+        for server, since, until in self.state.cold_periods:
+            times = [at for at in server.arrived_at if since <= at < until]
+            for first, last in zip(times, times[COLD_LIMIT:], strict=False):
+                if last - first < 1.0:
+                    in_s = sum(first <= at < first + 1.0 for at in times)
+                    detail = f"{server.name} {in_s} {first - since:.2f} s after notice"
+                    self.state.verdict.record_problem("cold_limit_exceeded", detail)
+                    break
+
+    def check_evacuations(self) -> None:
+        """Check that no request arrived in a zone that had to be evacuated."""
+        servers = (*self.state.site.servers.values(), *self.state.ended_servers)
+        for zone, since, until in self.state.evacuated_periods:
+            for server in servers:
+                late = [at for at in server.arrived_at if since < at < until]
+                if server.zone == zone and late:
+                    detail = (
+                        f"{server.name} {len(late)} requests, the first"
+                        f" {late[0] - since:.2f} s late"
+                    )
+                    self.state.verdict.record_problem("requests_in_left_zones", detail)
+
     def check_runs_and_owners(self) -> None:
         """Check that no server ran an attempt before and after another held its key."""
         servers = (*self.state.site.servers.values(), *self.state.ended_servers)
--- a/packages/fakes/peridot_fakes/sitefaults.py
+++ b/packages/fakes/peridot_fakes/sitefaults.py
@@ -1,21 +1,34 @@
 """Faults of the gateway mode's soak, drawn by seed."""
 
 import asyncio
+import random
 import signal
 from collections import deque
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
 
+import orjson
+
 from peridot_fakes.disturbances import STORE
 from peridot_fakes.holdserver import FakeServer
 from peridot_fakes.site import (
+    EVACUATE_S,
     FILES_ROUTE,
     GRACE_S,
     ORDERS_ROUTE,
     make_configuration,
 )
-from peridot_fakes.sitestate import GATEWAYS, STABILITY_WINDOW_S, SoakState
+from peridot_fakes.sitestate import (
+    COLD_RATE,
+    COLD_S,
+    GATEWAYS,
+    MEDIA_ROUTE,
+    STABILITY_WINDOW_S,
+    URGENT_ROUTE,
+    ZONES,
+    SoakState,
+)
 from peridot_ownership.ranges import ALL_KEYS
 
 # The store is restored from copies of at most this age, one for each period.
@@ -25,6 +38,10 @@
 # the store drops the entries of servers that have ended.
 REWRITE_DELAY_S = 2.0
 EXPIRY_DELAY_S = 2.6
+# All gateways know a stored entry after this time (s).
+NOTICE_DELAY_S = 2.0
+# Values of unreadable entries, as JSON.
+UNREADABLE = (b"null", b"7", b'"\xff"', b'{"service":[]}', b"1" * 400, b"[" * 2000)
 # Number of kinds of faults that a run with `few` draws.
 FEW_KINDS = 3
 Fault = Callable[[], Awaitable[None]]
@@ -48,11 +65,30 @@
     async def inject_faults(self, ends_at: float) -> None:
         """Inject one fault after another until a time (s); complete the last one."""
         faults = self.selected_faults or self.list_faults()
+        await self._inject(faults, self.state.rng, ends_at)
+
+    async def inject_load_faults(self, ends_at: float) -> None:
+        """Inject the faults of targets and zones under load in the same way.
+
+        They have their own draws, so that those of the other faults stay the same.
+        """
+        faults = (
+            self.turn_cold,
+            self.evacuate_zone,
+            self.slow_servers,
+            self.break_responses,
+            self.spoil_entries,
+        )
+        await self._inject(faults, self.state.load_rng, ends_at)
+
+    async def _inject(
+        self, faults: tuple[Fault, ...], rng: random.Random, ends_at: float
+    ) -> None:
         while asyncio.get_running_loop().time() < ends_at:
-            fault = self.state.rng.choice(faults)
+            fault = rng.choice(faults)
             self.state.verdict.faults[fault.__name__] += 1
             await fault()
-            await asyncio.sleep(self.state.rng.uniform(0.1, 1.0))
+            await asyncio.sleep(rng.uniform(0.1, 1.0))
 
     def select_few_faults(self) -> None:
         """Draw few kinds of faults, so that the guaranteed delays apply more often."""
@@ -196,8 +232,9 @@
         if self.state.changed_at:
             await self.put_configuration()
         for server in list(self.state.site.servers.values()):
-            draining = server.name in self.state.drain_started_at
-            await self.register(server, "draining" if draining else "ready")
+            await self.register_again(server)
+        for zone in ZONES:
+            await self.put_evacuation(zone)
 
     async def expire_entries(self) -> None:
         """Remove the entries of servers that have ended."""
@@ -283,12 +320,103 @@
 
     async def put_configuration(self) -> None:
         """Store the newest configuration."""
-        routes = [FILES_ROUTE, ORDERS_ROUTE, self.state.new_route()]
-        await self.state.site.api.put(
-            "config", "main", make_configuration(self.state.version, routes)
+        routes = [FILES_ROUTE, ORDERS_ROUTE, URGENT_ROUTE, MEDIA_ROUTE]
+        configuration = make_configuration(
+            self.state.version,
+            [*routes, self.state.new_route()],
+            (COLD_S, COLD_RATE),
         )
+        await self.state.site.api.put("config", "main", configuration)
         self.state.changed_at = self.state.now()
 
+    # Faults of targets and zones under load.
+
+    async def turn_cold(self) -> None:
+        """Let a server turn cold."""
+        server = self.state.load_rng.choice(list(self.state.site.servers.values()))
+        name, stored_at, era = server.name, self.state.now(), self.state.site.api.era
+        server.turn_cold(COLD_S)
+        await self.register_again(server)
+        await asyncio.sleep(NOTICE_DELAY_S)
+        noticed = self.was_well_since(stored_at, STORE, *GATEWAYS)
+        await asyncio.sleep(COLD_S - NOTICE_DELAY_S)
+        if noticed and server.name == name and self.state.site.api.era == era:
+            period = (server, stored_at + NOTICE_DELAY_S, stored_at + COLD_S)
+            self.state.cold_periods.append(period)
+
+    async def evacuate_zone(self) -> None:
+        """Evacuate a zone for a while; its servers may turn cold before they return."""
+        rng, api = self.state.load_rng, self.state.site.api
+        zone, duration_s = rng.choice(ZONES), rng.uniform(1.0, 10.0)
+        if zone in self.state.evacuated:
+            return
+        self.state.evacuated.add(zone)
+        stored_at, era = self.state.now(), api.era
+        await self.put_evacuation(zone)
+        await asyncio.sleep(min(duration_s, EVACUATE_S))
+        noticed = duration_s > EVACUATE_S and self.was_well_since(stored_at, STORE)
+        await asyncio.sleep(max(0.0, duration_s - EVACUATE_S))
+        removed_at = self.state.now()
+        if noticed and api.era == era:
+            period = (zone, stored_at + EVACUATE_S, removed_at)
+            self.state.evacuated_periods.append(period)
+        servers = [s for s in self.state.site.servers.values() if s.zone == zone]
+        if rng.random() < 0.5:
+            for server in servers:
+                server.turn_cold(COLD_S)
+                await self.register_again(server)
+        self.state.evacuated.remove(zone)
+        await self.put_evacuation(zone)
+        await asyncio.sleep(COLD_S)
+        if noticed and self.was_well_since(stored_at, STORE, *GATEWAYS):
+            self.state.cold_periods += [
+                (server, removed_at, removed_at + COLD_S) for server in servers
+            ]
+
+    async def put_evacuation(self, zone: str) -> None:
+        """Store or remove the object that asks for a zone's evacuation."""
+        wanted, key = zone in self.state.evacuated, ("evacuations", zone)
+        if wanted and key not in self.state.site.api.objects:
+            await self.state.site.api.put(*key, {"reason": "soak"})
+        elif not wanted and key in self.state.site.api.objects:
+            await self.state.site.api.remove(*key)
+
+    async def slow_servers(self) -> None:
+        """Slow the servers of orders down for a while; some say so."""
+        rng = self.state.load_rng
+        servers = [s for s in self.state.site.servers.values() if s.service == "orders"]
+        for server in servers:
+            server.slowdown = rng.uniform(1.0, 20.0)
+            server.reports_slowdown = rng.random() < 0.5
+        await asyncio.sleep(rng.uniform(0.5, 4.0))
+        for server in servers:
+            server.slowdown = 1.0
+
+    async def break_responses(self) -> None:
+        """Let a server break the next few large responses off midway."""
+        servers = [s for s in self.state.site.servers.values() if s.service == "orders"]
+        self.state.load_rng.choice(servers).break_off += self.state.load_rng.randint(
+            1, 4
+        )
+
+    async def spoil_entries(self) -> None:
+        """Store an unreadable entry for a while."""
+        rng, api = self.state.load_rng, self.state.site.api
+        key = (
+            rng.choice(("servers", "evacuations")),
+            f"bad-{self.state.next_number()}",
+        )
+        await api.put(*key, orjson.Fragment(rng.choice(UNREADABLE)))
+        await asyncio.sleep(rng.uniform(0.5, 4.0))
+        if key in api.objects:
+            await api.remove(*key)
+
+    def was_well_since(self, stored_at: float, *parts: str) -> bool:
+        """Return whether parts had no fault from before a change was stored (s)."""
+        return self.state.fault_tracker.had_no_fault_since(
+            stored_at - STABILITY_WINDOW_S, *parts
+        )
+
     async def end_all_faults(self) -> None:
         """End all faults."""
         self.state.site.api.unresponsive, self.state.site.api.error_status = False, None
@@ -298,6 +426,7 @@
         for server in self.state.site.servers.values():
             server.relay.heal()
             server.shed = server.lose_answers = server.foreign = 0
+            server.break_off = 0
         for name in GATEWAYS:
             process = self.state.site.gateways.processes.get(name)
             if process is not None:
@@ -310,8 +439,12 @@
 
     async def add_server(self, service: str) -> None:
         """Start a server of a service, behind a relay."""
+        number = self.state.next_number()
         await self.state.site.add_server(
-            f"{service}-{self.state.next_number()}", service, relayed=True
+            f"{service}-{number}",
+            service,
+            relayed=True,
+            zone=ZONES[number % len(ZONES)],
         )
 
     def choose_server(self, service: str) -> FakeServer:
@@ -319,6 +452,11 @@
         servers = [s for s in self.state.site.servers.values() if s.service == service]
         return self.state.rng.choice(servers)
 
+    async def register_again(self, server: FakeServer) -> None:
+        """Store a server's entry with the state that it had."""
+        draining = server.name in self.state.drain_started_at
+        await self.register(server, "draining" if draining else "ready")
+
     async def register(self, server: FakeServer, state: str = "ready") -> None:
         """Store a server's entry, unless the server has ended."""
         if server.name in self.state.site.servers:
--- a/packages/fakes/peridot_fakes/sitesoak.py
+++ b/packages/fakes/peridot_fakes/sitesoak.py
@@ -12,7 +12,7 @@
 
 from absl import app, flags
 
-from peridot_fakes.site import open_site
+from peridot_fakes.site import COLD_BOUNDS, open_site
 from peridot_fakes.sitechecks import SiteChecks
 from peridot_fakes.sitefaults import SiteFaults
 from peridot_fakes.siteload import SiteLoad
@@ -20,6 +20,7 @@
 
 FILES_SERVERS = 4
 CALLERS = 12
+UNEVEN_CALLERS = 4
 
 
 class SiteSoak:
@@ -37,6 +38,9 @@
             await self.faults.add_server("files")
         await self.faults.add_server("orders")
         await self.faults.add_server("orders")
+        await self.faults.put_configuration()
+        self.state.site.gateways.more_bounds = COLD_BOUNDS
+        self.state.site.gateways.zones = {"vm-3": "zone-b"}
         for name in GATEWAYS:
             await self.state.site.gateways.start(name)
         background = [
@@ -46,15 +50,24 @@
         background += [
             asyncio.create_task(self.load.send_requests()) for _ in range(CALLERS)
         ]
+        background += [
+            asyncio.create_task(self.load.send_uneven_requests())
+            for _ in range(UNEVEN_CALLERS)
+        ]
         ends_at = asyncio.get_running_loop().time() + seconds
         await asyncio.gather(
-            self.faults.inject_faults(ends_at), self.faults.inject_faults(ends_at)
+            self.faults.inject_faults(ends_at),
+            self.faults.inject_faults(ends_at),
+            self.faults.inject_load_faults(ends_at),
+            self.faults.inject_load_faults(ends_at),
         )
         await self.faults.end_all_faults()
         await self.checks.check_served_again()
         for task in background:
             task.cancel()
         await asyncio.gather(*background, return_exceptions=True)
+        self.checks.check_cold_servers()
+        self.checks.check_evacuations()
         self.checks.check_runs()
         self.checks.check_runs_and_owners()
         self.checks.check_logs()
--- a/packages/fakes/peridot_fakes/sitestate.py
+++ b/packages/fakes/peridot_fakes/sitestate.py
@@ -7,12 +7,18 @@
 
 from peridot_fakes.disturbances import FaultTracker
 from peridot_fakes.holdserver import FakeServer
-from peridot_fakes.site import FILES_ROUTE, Site
+from peridot_fakes.site import FILES_ROUTE, HOST, Site
 
 GATEWAYS = ("vm-1", "vm-2", "vm-3")
 # The guaranteed delays apply to requests whose gateway and store have had no fault for
 # this long.
 STABILITY_WINDOW_S = 3.0
+ZONES = ("zone-a", "zone-b")
+# How long targets are cold (s), and the requests that they bear then (1/s).
+COLD_S, COLD_RATE = 4.0, 4.5
+# Routes to the service orders that are more and less urgent than ORDERS_ROUTE.
+URGENT_ROUTE = ["r3", HOST, "/urgent/", "idempotent", 1.2, 0.5, 0, None, 2, "orders"]
+MEDIA_ROUTE = ["r4", HOST, "/media/", "download", None, 1.0, 3, None, 2, "orders"]
 
 
 @dataclass
@@ -59,6 +65,17 @@
     # When (s) a gateway first passed on a response of a server that announced its
     # leaving, by gateway and server. Restarts and pauses of the gateway end it.
     announced_at: dict[tuple[str, str], float] = field(default_factory=dict)
+    # Draws cold targets, evacuations and the like, apart from the other faults.
+    load_rng: random.Random = field(init=False)
+    # The zones that are evacuated, and periods (s) in which no request may arrive at
+    # targets of a zone.
+    evacuated: set[str] = field(default_factory=set)
+    evacuated_periods: list[tuple[str, float, float]] = field(default_factory=list)
+    # Periods (s) in which all gateways know that a server is cold.
+    cold_periods: list[tuple[FakeServer, float, float]] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.load_rng = random.Random(repr(self.rng.getstate()))
 
     def now(self) -> float:
         """Return the event loop's time (s)."""
