Test the soak's checks of limits, and count what they check

A pass of the soak said nothing about how many periods with a limit it had checked. The store's stand-in answers calls whose callers have gone without a traceback. packages/fakes/tests/test_sitesoak.py -k 'beyond or broken_off': 9 passed.

--- a/packages/fakes/peridot_fakes/holdserver.py
+++ b/packages/fakes/peridot_fakes/holdserver.py
@@ -266,13 +266,13 @@
             try:
                 async with asyncio.timeout(UNREAD_TIMEOUT_S):
                     await response.write(body[start : start + PIECE_BYTES])
-            except TimeoutError:
+            except (TimeoutError, ConnectionResetError):
                 broken = True
                 break
-        if broken:
-            request.transport.abort()
-        else:
+        if not broken:
             await response.write_eof()
+        elif request.transport is not None:
+            request.transport.abort()
         return response
 
     def _load_headers(self) -> dict[str, str]:
--- a/packages/fakes/peridot_fakes/objectapi.py
+++ b/packages/fakes/peridot_fakes/objectapi.py
@@ -217,6 +217,8 @@
         if self.unresponsive:
             await asyncio.sleep(HANG_S)
             return web.Response(status=503)
+        if request.transport is None:  # The caller has gone.
+            return web.Response(status=503)
         if request.transport.get_extra_info("sockname")[1] in self.refused_ports:
             return web.Response(status=503)
         if self.error_status is None:
--- a/packages/fakes/peridot_fakes/sitechecks.py
+++ b/packages/fakes/peridot_fakes/sitechecks.py
@@ -139,6 +139,8 @@
         """Check that no cold server got more than the limit in any second."""
         for server, since, until in self.state.cold_periods:
             times = [at for at in server.arrived_at if since <= at < until]
+            self.state.verdict.checked["cold_periods"] += 1
+            self.state.verdict.checked["requests_at_cold_servers"] += len(times)
             for first, last in zip(times, times[COLD_LIMIT:], strict=False):
                 if last - first < 1.0:
                     in_s = sum(first <= at < first + 1.0 for at in times)
@@ -149,6 +151,7 @@
     def check_evacuations(self) -> None:
         """Check that no request arrived in a zone that had to be evacuated."""
         servers = (*self.state.site.servers.values(), *self.state.ended_servers)
+        self.state.verdict.checked["evacuations"] += len(self.state.evacuated_periods)
         for zone, since, until in self.state.evacuated_periods:
             for server in servers:
                 late = [at for at in server.arrived_at if since < at < until]
--- a/packages/fakes/peridot_fakes/sitesoak.py
+++ b/packages/fakes/peridot_fakes/sitesoak.py
@@ -95,6 +95,7 @@
                 (Path(values.keep_logs) / name).write_bytes(path.read_bytes())
     print(f"site soak: seed={values.seed} answers={dict(verdict.answers)}")
     print(f"site soak: faults={dict(verdict.faults)}")
+    print(f"site soak: checked={dict(verdict.checked)}")
     for detail in verdict.details[:20]:
         print(f"site soak: {detail}")
     print(f"site soak: problems={dict(verdict.problems)}")
--- a/packages/fakes/peridot_fakes/sitestate.py
+++ b/packages/fakes/peridot_fakes/sitestate.py
@@ -26,12 +26,14 @@
     """The result of a soak.
 
     `problems` counts broken guarantees and must be empty; `faults` counts injected
-    faults by name, and `answers` responses by status or error.
+    faults by name, `checked` the requests in periods with a limit, and `answers`
+    responses by status or error.
     """
 
     problems: Counter = field(default_factory=Counter)
     details: list[str] = field(default_factory=list)
     faults: Counter = field(default_factory=Counter)
+    checked: Counter = field(default_factory=Counter)
     answers: Counter = field(default_factory=Counter)
 
     def record_problem(self, problem: str, detail: str) -> None:
--- a/packages/fakes/tests/test_sitesoak.py
+++ b/packages/fakes/tests/test_sitesoak.py
@@ -4,9 +4,10 @@
 import random
 
 import pytest
+from aiohttp import ClientError
 
 from peridot_fakes.site import open_site
-from peridot_fakes.sitechecks import SiteChecks
+from peridot_fakes.sitechecks import COLD_LIMIT, SiteChecks
 from peridot_fakes.sitesoak import run_soak
 from peridot_fakes.sitestate import SoakState
 
@@ -82,3 +83,53 @@
             assert state.verdict.details == [problem + run for run in found] * 2
 
     asyncio.run(scenario())
+
+
+# Guards against a soak that misses requests at cold servers and in evacuated zones, or
+# counts those at other times and in other zones.
+@pytest.mark.parametrize(
+    ("first", "interval_s", "count", "zone", "found"),
+    [
+        (1.0, 0.01, COLD_LIMIT + 1, "zone-a", ["cold_limit_exceeded"]),
+        (1.0, 0.01, COLD_LIMIT, "zone-a", []),
+        (1.0, 0.08, 24, "zone-a", []),
+        (0.0, 0.01, COLD_LIMIT + 1, "zone-a", []),
+        (3.5, 0.1, 1, "zone-a", ["requests_in_left_zones"]),
+        (3.5, 0.1, 1, "zone-b", []),
+        (5.0, 0.1, 1, "zone-a", []),
+    ],
+)
+def test_requests_beyond_the_limits_of_cold_servers_and_left_zones_are_found(
+    first, interval_s, count, zone, found, tmp_path
+):
+    async def scenario():
+        async with open_site(tmp_path) as site:
+            server = await site.add_server("files-1", "files", zone=zone)
+            server.arrived_at = [first + i * interval_s for i in range(count)]
+            state = SoakState(site, random.Random(1))
+            state.cold_periods.append((server, 0.5, 3.0))
+            state.evacuated_periods.append(("zone-a", 3.2, 4.0))
+            SiteChecks(state).check_cold_servers()
+            SiteChecks(state).check_evacuations()
+            assert list(state.verdict.problems) == found
+
+    asyncio.run(scenario())
+
+
+# Guards against a stand-in whose large responses are never broken off, or look whole.
+@pytest.mark.parametrize("size", [200_000, 200_001])
+def test_large_responses_of_servers_are_whole_or_recognizably_broken_off(
+    size, tmp_path
+):
+    async def scenario():
+        async with open_site(tmp_path) as site:
+            server = await site.add_server("orders-1", "orders")
+            url = f"http://127.0.0.1:{server.port}/media/1/{size}"
+            server.break_off = 1
+            with pytest.raises(ClientError):
+                async with site.session.get(url) as response:
+                    await response.read()
+            async with site.session.get(url) as response:
+                assert len(await response.read()) == size
+
+    asyncio.run(scenario())
