--- a/packages/fakes/tests/test_adapter.py
+++ b/packages/fakes/tests/test_adapter.py
@@ -71,6 +71,17 @@
     ]
 
 
+def test_whole_numbers_of_configurations_may_be_written_with_a_point():
+    """Guards against a configuration that is refused whole for 2.0 instead of 2."""
+    row = list(FILES_ROUTE)
+    row[8] = 2.0
+    found = parse_configuration(orjson.dumps(make_configuration(3, [row])))
+    assert found.routes[0].max_targets == 2
+    row[8] = 2.5
+    with pytest.raises(InvalidObject):
+        parse_configuration(orjson.dumps(make_configuration(3, [row])))
+
+
 def test_downloads_may_run_more_than_once():
     row = list(FILES_ROUTE)
     row[3] = "download"
