Move the sessions to targets out of the sender

Change: sessions.py opens, retires and closes the HTTP sessions; nothing else changes. Tests: test_sender, test_connections, test_streams, test_passed_bodies, test_router.

--- a/packages/gateway/peridot_gateway/sender.py
+++ b/packages/gateway/peridot_gateway/sender.py
@@ -18,26 +18,16 @@
     ClientSession,
     ClientTimeout,
     ConnectionTimeoutError,
-    DummyCookieJar,
-    TCPConnector,
 )
 from multidict import CIMultiDict
 from yarl import URL
 
-from peridot_gateway.answers import (
-    MAX_HEADER_LINE_BYTES,
-    MAX_HEADERS,
-    ResponseReader,
-)
+from peridot_gateway.answers import ResponseReader
 from peridot_gateway.dialect import Dialect, ResponseHeaders
 from peridot_gateway.estimates import Estimates, TargetEstimate
 from peridot_gateway.requests import GatewayRequest, end_to_end_headers
-from peridot_gateway.sockets import (
-    ClosingResponse,
-    ConnectionUse,
-    open_connector,
-    use_connection,
-)
+from peridot_gateway.sessions import TargetConnections
+from peridot_gateway.sockets import ConnectionUse, use_connection
 from peridot_gateway.streams import (
     READ_BUFFER_BYTES,
     ResponseStream,
@@ -47,16 +37,10 @@
 from peridot_objects.connections import is_final_status
 from peridot_placement.decisions import DecisionLog
 from peridot_resources.configuration import ServiceConfiguration, TargetInstance
-from peridot_routing.attempts import AIOHTTP_AUTO_HEADERS
 from peridot_routing.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 
 # Targets are at most a few milliseconds away; a lost SYN packet costs a second.
 CONNECT_TIMEOUT_S = 0.35
-# Idle connections are closed before the targets close them (after 10 s at the sites).
-KEEPALIVE_TIMEOUT_S = 8.0
-# Even targets that forget idle connections early keep them for this time. Requests
-# that may run once use no others: after a reset it is unknown whether they ran.
-SAFE_IDLE_S = 0.2
 # Limit of the idle time that no kept connection meets, so that a new one is opened.
 NEW_CONNECTION_IDLE_S = -1.0
 # Idle connections to a target that are kept: at most this number, and this share of
@@ -98,48 +82,6 @@
         return reported_load is None or reported_load.waiting >= reported_load.slots
 
 
-class TargetConnections:
-    """The connections to one target."""
-
-    def __init__(self) -> None:
-        self.session = open_target_session()
-        # Number of requests in flight by session; the present one is always included.
-        self.in_flight: dict[ClientSession, int] = {self.session: 0}
-        self.distrusted_until = float("-inf")
-
-    @asynccontextmanager
-    async def use_session(self) -> AsyncIterator[ClientSession]:
-        """Yield the session for one request; close retired ones after their last."""
-        session = self.session
-        self.in_flight[session] += 1
-        try:
-            yield session
-        finally:
-            self.in_flight[session] -= 1
-            if session is not self.session and not self.in_flight[session]:
-                del self.in_flight[session]
-                await session.close()
-
-    async def retire_session(self) -> None:
-        """Drop the idle connections, which may be dead; open requests go on."""
-        retired, self.session = self.session, open_target_session()
-        self.in_flight[self.session] = 0
-        if not self.in_flight[retired]:
-            del self.in_flight[retired]
-            await retired.close()
-
-    def max_idle_s(self, idempotent: bool, now: float) -> float:
-        """Return for how long a connection for a request may have been idle (s)."""
-        if idempotent and now >= self.distrusted_until:
-            return KEEPALIVE_TIMEOUT_S
-        return SAFE_IDLE_S
-
-    async def close(self) -> None:
-        """Close all connections."""
-        for session in list(self.in_flight):
-            await session.close()
-
-
 @asynccontextmanager
 async def attempt_timeout(
     estimate: TargetEstimate,
@@ -172,29 +114,6 @@
             handle.cancel()
 
 
-def open_target_session() -> ClientSession:
-    """Return a session whose connections are kept open."""
-    return open_session(open_connector(keepalive_timeout=KEEPALIVE_TIMEOUT_S))
-
-
-def open_session(connector: TCPConnector) -> ClientSession:
-    """Return a session that adds no cookies or headers to requests."""
-    session = ClientSession(
-        connector=connector,
-        response_class=ClosingResponse,
-        cookie_jar=DummyCookieJar(),
-        skip_auto_headers=AIOHTTP_AUTO_HEADERS,
-        auto_decompress=False,
-        max_line_size=MAX_HEADER_LINE_BYTES,
-        max_field_size=MAX_HEADER_LINE_BYTES,
-        max_headers=MAX_HEADERS,
-    )
-    # Otherwise aiohttp retries requests whose reused connection was reset, outside the
-    # retry budget. It has no public option for this.
-    session._retry_connection = False
-    return session
-
-
 class Sender:
     """Send attempts to targets over pooled connections."""
 
--- a/packages/gateway/tests/test_connections.py
+++ b/packages/gateway/tests/test_connections.py
@@ -12,7 +12,7 @@
 from aiohttp import ClientSession
 
 from peridot_fakes.fleet import free_ports
-from peridot_gateway import sender as sender_module
+from peridot_gateway import sessions
 from peridot_gateway.dialect import ResponseHeaders
 from peridot_gateway.estimates import Estimates
 from peridot_gateway.sender import Sender
@@ -74,7 +74,7 @@
 
 @pytest.fixture
 def run_with_target(monkeypatch, make_target):
-    monkeypatch.setattr(sender_module, "SAFE_IDLE_S", SAFE_IDLE_S)
+    monkeypatch.setattr(sessions, "SAFE_IDLE_S", SAFE_IDLE_S)
 
     @asynccontextmanager
     async def open_target():
