--- a/packages/fakes/peridot_fakes/disturbances.py
+++ b/packages/fakes/peridot_fakes/disturbances.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass, field
 
 STORE = "store"
+# A paused process misses changes that one which starts later reads from the store.
+PAUSES = "pauses"
 
 
 @dataclass
--- a/packages/fakes/peridot_fakes/sitefaults.py
+++ b/packages/fakes/peridot_fakes/sitefaults.py
@@ -10,7 +10,7 @@
 
 import orjson
 
-from peridot_fakes.disturbances import STORE
+from peridot_fakes.disturbances import PAUSES, STORE
 from peridot_fakes.holdserver import FakeServer
 from peridot_fakes.site import (
     EVACUATE_S,
@@ -40,6 +40,8 @@
 EXPIRY_DELAY_S = 2.6
 # All gateways know a stored entry after this time (s).
 NOTICE_DELAY_S = 2.0
+# Changes whose effects are checked wait this long (s) for the store to be well.
+WELL_TIMEOUT_S = 6.0
 # Values of unreadable entries, as JSON.
 UNREADABLE = (b"null", b"7", b'"\xff"', b'{"service":[]}', b"1" * 400, b"[" * 2000)
 # Number of kinds of faults that a run with `few` draws.
@@ -169,7 +171,7 @@
             return
         self.state.usable.discard(name)
         process = self.state.site.gateways.processes[name]
-        with self.state.fault_tracker.track(name):
+        with self.state.fault_tracker.track(name, PAUSES):
             process.send_signal(signal.SIGSTOP)
             await asyncio.sleep(self.state.rng.uniform(0.1, 6.0))
             process.send_signal(signal.SIGCONT)
@@ -333,12 +335,13 @@
 
     async def turn_cold(self) -> None:
         """Let a server turn cold."""
+        await self.wait_until_well()
         server = self.state.load_rng.choice(list(self.state.site.servers.values()))
         name, stored_at, era = server.name, self.state.now(), self.state.site.api.era
         server.turn_cold(COLD_S)
         await self.register_again(server)
         await asyncio.sleep(NOTICE_DELAY_S)
-        noticed = self.was_well_since(stored_at, STORE, *GATEWAYS)
+        noticed = self.was_well_since(stored_at, STORE, PAUSES)
         await asyncio.sleep(COLD_S - NOTICE_DELAY_S)
         if noticed and server.name == name and self.state.site.api.era == era:
             period = (server, stored_at + NOTICE_DELAY_S, stored_at + COLD_S)
@@ -347,17 +350,18 @@
     async def evacuate_zone(self) -> None:
         """Evacuate a zone for a while; its servers may turn cold before they return."""
         rng, api = self.state.load_rng, self.state.site.api
-        zone, duration_s = rng.choice(ZONES), rng.uniform(1.0, 10.0)
+        zone, duration_s = rng.choice(ZONES), rng.uniform(3.0, 11.0)
+        await self.wait_until_well()
         if zone in self.state.evacuated:
             return
         self.state.evacuated.add(zone)
         stored_at, era = self.state.now(), api.era
         await self.put_evacuation(zone)
-        await asyncio.sleep(min(duration_s, EVACUATE_S))
-        noticed = duration_s > EVACUATE_S and self.was_well_since(stored_at, STORE)
-        await asyncio.sleep(max(0.0, duration_s - EVACUATE_S))
+        await asyncio.sleep(NOTICE_DELAY_S)
+        noticed = self.was_well_since(stored_at, STORE)
+        await asyncio.sleep(duration_s - NOTICE_DELAY_S)
         removed_at = self.state.now()
-        if noticed and api.era == era:
+        if noticed and duration_s > EVACUATE_S and api.era == era:
             period = (zone, stored_at + EVACUATE_S, removed_at)
             self.state.evacuated_periods.append(period)
         servers = {n: s for n, s in self.state.site.servers.items() if s.zone == zone}
@@ -368,7 +372,7 @@
         self.state.evacuated.remove(zone)
         await self.put_evacuation(zone)
         await asyncio.sleep(COLD_S)
-        if noticed and self.was_well_since(stored_at, STORE, *GATEWAYS):
+        if self.was_well_since(stored_at, STORE, *GATEWAYS):
             self.state.cold_periods += [
                 (server, removed_at, removed_at + COLD_S)
                 for name, server in servers.items()
@@ -413,6 +417,13 @@
         if key in api.objects:
             await api.remove(*key)
 
+    async def wait_until_well(self) -> None:
+        """Wait until the store has been well for a while, up to a time."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(WELL_TIMEOUT_S):
+                while not self.was_well_since(self.state.now(), STORE):
+                    await asyncio.sleep(0.1)
+
     def was_well_since(self, stored_at: float, *parts: str) -> bool:
         """Return whether parts had no fault from before a change was stored (s)."""
         return self.state.fault_tracker.had_no_fault_since(
--- a/packages/fakes/peridot_fakes/sitestate.py
+++ b/packages/fakes/peridot_fakes/sitestate.py
@@ -15,7 +15,7 @@
 STABILITY_WINDOW_S = 3.0
 ZONES = ("zone-a", "zone-b")
 # How long targets are cold (s), and the requests that they bear then (1/s).
-COLD_S, COLD_RATE = 4.0, 4.5
+COLD_S, COLD_RATE = 6.0, 4.5
 # Routes to the service orders that are more and less urgent than ORDERS_ROUTE.
 URGENT_ROUTE = ["r3", HOST, "/urgent/", "idempotent", 1.2, 0.5, 0, None, 2, "orders"]
 MEDIA_ROUTE = ["r4", HOST, "/media/", "download", None, 1.0, 3, None, 2, "orders"]
