--- a/packages/fakes/peridot_fakes/sitefaults.py
+++ b/packages/fakes/peridot_fakes/sitefaults.py
@@ -42,8 +42,10 @@
 NOTICE_DELAY_S = 2.0
 # Changes whose effects are checked wait this long (s) for the store to be well.
 WELL_TIMEOUT_S = 6.0
+# Nesting that parsers refuse; the brackets match, so that the entry has an end.
+NESTED = b"[" * 2000 + b"]" * 2000
 # Values of unreadable entries, as JSON.
-UNREADABLE = (b"null", b"7", b'"\xff"', b'{"service":[]}', b"1" * 400, b"[" * 2000)
+UNREADABLE = (b"null", b"7", b'"\xff"', b'{"service":[]}', b"1" * 400, NESTED)
 # Number of kinds of faults that a run with `few` draws.
 FEW_KINDS = 3
 Fault = Callable[[], Awaitable[None]]
