--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -494,7 +494,7 @@
                 "ttlMinS": 1,
             },
         }
-        self.process = None
+        self.process = self.starting = None
 
     async def start(self):
         """Start the process."""
@@ -509,16 +509,20 @@
             "PERIDOTPADDLE_BOOT": str(path),
         }
         with (self.folder / f"{self.name}.log").open("ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                "python3",
-                "-m",
-                "peridot_platform",
-                f"--metrics_port={self.metrics}",
-                stdout=log,
-                stderr=log,
-                env=environment,
-                cwd=ROOT,
+            self.starting = asyncio.ensure_future(
+                asyncio.create_subprocess_exec(
+                    "python3",
+                    "-m",
+                    "peridot_platform",
+                    f"--metrics_port={self.metrics}",
+                    stdout=log,
+                    stderr=log,
+                    env=environment,
+                    cwd=ROOT,
+                )
             )
+            # A process that is being started when this is cancelled is ended too.
+            self.process = await asyncio.shield(self.starting)
 
     async def wait_ready(self, timeout_s=20):
         """Return once the process says that it is ready."""
@@ -536,6 +540,8 @@
 
     async def end(self):
         """Kill the process if it runs, and wait for it."""
+        if self.starting is not None:
+            self.process = await self.starting
         if self.process is None or self.process.returncode is not None:
             return
         with suppress(ProcessLookupError):
