objects: one object without an end costs that object only

Callers saw no service after a restart while one entry of another writer was cut short: no gateway became ready. Gateways that ran on no longer followed the list, so targets that joined later were not used.

Cause: a list that isn't valid JSON was divided by counting its brackets and strings. A string or bracket without an end, or a bracket too many, makes the count of the whole list wrong, so that all of it counted as unreadable, and the same held for watches, single reads and the object in a conflict.

Change: each item's end is found by itself. Where an item can't be decoded, it ends before the next item that can be parsed, or before the bracket behind which the rest of the document is valid. Of such an item only the metadata counts, not its value. Because text of the unreadable item might look like another item, objects that a list shows twice are read again, and a watch whose changes can't be told apart leads to a new list.

--- a/packages/fakes/tests/test_unreadable_objects.py
+++ b/packages/fakes/tests/test_unreadable_objects.py
@@ -6,11 +6,13 @@
 
 import asyncio
 from contextlib import asynccontextmanager
+from inspect import isawaitable
 from urllib.parse import parse_qs
 
 import orjson
 import pytest
 from aiohttp import ClientSession, web
+from hypothesis import given, settings, strategies as st
 
 from peridot_daemon.replica import Replica
 from peridot_fakes.fleet import free_ports
@@ -19,6 +21,7 @@
 from peridot_gateway.dialect import InvalidObject
 from peridot_gateway.sources import ConfigurationSource
 from peridot_gateway.targets import TargetSource
+from peridot_objects.documents import load_document, parse_items, parse_name
 from peridot_objects.http_objects import HttpObjectStore
 from peridot_objects.outcomes import Conflict, Listing, StoredObject, WatchBatch
 from peridot_objects.vms import parse_vms
@@ -56,6 +59,20 @@
     "a trailing comma": b"[1,]",
     "another type": b'{"a":[]}',
 }
+VALID_ENTRY = orjson.dumps(ENTRY)
+# Values without an end of their own, or that seem to end the list around them.
+UNENDED_VALUES = {
+    "an entry that is cut short": b'{"service":"files","address":"127.0.0.1:1',
+    "a string that doesn't end": b'"abc',
+    "a string that ends with a backslash": b'"abc\\',
+    "a bracket that doesn't end": b'{"a":[1',
+    "many brackets that don't end": b'[0,{"a":' * 5000,
+    "a bracket too many": VALID_ENTRY + b"}",
+    "brackets that end the list": VALID_ENTRY + b"}],",
+    "brackets that end the page": VALID_ENTRY + b'}],"hasMore":false,"at":9}',
+    "no bytes": b"",
+    "half of an object": b'{},"metadata":{"name":"b"',
+}
 # The field that a bad value replaces; "" is the whole object.
 PLACES = ("", "metadata", "name", "revision", "spec", "version", "slots")
 
@@ -87,7 +104,8 @@
     """Serve bodies that a function returns for a query."""
 
     async def handle(request):
-        return web.Response(body=answer(parse_qs(request.query_string)))
+        body = answer(parse_qs(request.query_string))
+        return web.Response(body=await body if isawaitable(body) else body)
 
     runner = web.ServerRunner(web.Server(handle), shutdown_timeout=0.1)
     await runner.setup()
@@ -138,6 +156,133 @@
     assert parse_names(found.changes) == ["a", "c"]
 
 
+@pytest.mark.parametrize("reverse", [False, True], ids=["", "value first"])
+@pytest.mark.parametrize("count", [1, 2])
+@pytest.mark.parametrize("position", [0, 1, 2])
+@pytest.mark.parametrize("bad", UNENDED_VALUES.values(), ids=UNENDED_VALUES)
+def test_an_object_without_an_end_costs_that_object_only(bad, position, count, reverse):
+    """Guards against lists that can't be read while such an object is stored.
+
+    No gateway became ready after a restart, and running ones followed no changes.
+    """
+    items = [compose_item("a"), compose_item("c")]
+    for number in range(count):
+        broken = compose_item(f"b{number}", "spec", bad)
+        if reverse:
+            broken = b'{"spec":%s,"metadata":{"name":"b%d","revision":7}}' % (
+                bad,
+                number,
+            )
+        items.insert(position, broken)
+    if reverse:
+        items = [reverse_members(item) for item in items]
+    text = b",".join(items)
+    for page in (
+        b'{"items":[%s],"hasMore":false,"at":40}' % text,
+        b'{"at":40,"hasMore":false,"items":[%s]}\n' % text,
+    ):
+        listing = call_store(page, lambda store: store.list(["servers"]))
+        assert isinstance(listing, Listing), listing
+        assert parse_names(listing.objects) == ["a", "c"]
+        assert len(listing.objects) + len(listing.unreadable) > 2
+
+
+@given(
+    bad=st.one_of(
+        st.integers(0, len(VALID_ENTRY)).map(lambda length: VALID_ENTRY[:length]),
+        st.lists(st.sampled_from(list(b'{}[]",:1a\\ \xff'))).map(bytes),
+    ),
+    position=st.integers(0, 2),
+)
+@settings(max_examples=200, deadline=None, derandomize=True)
+def test_no_bytes_of_an_object_cost_another(bad, position):
+    items = [compose_item("a"), compose_item("c")]
+    items.insert(position, compose_item("b", "spec", bad))
+    page = load_document(b'{"items":[%s],"at":40}' % b",".join(items))
+    names = [
+        item["metadata"]["name"]
+        for item in parse_items(page["items"], parse_whole_item).items
+    ]
+    assert names in (["a", "c"], ["a", "b", "c"], ["b", "a", "c"], ["a", "c", "b"])
+
+
+def parse_whole_item(item):
+    parse_name(item["metadata"]["name"])
+    return item
+
+
+def reverse_members(item):
+    """Return an item's text with its value first, if it is valid."""
+    try:
+        return orjson.dumps(dict(reversed(orjson.loads(item).items())))
+    except ValueError:
+        return item
+
+
+@pytest.mark.parametrize("bad", UNENDED_VALUES.values(), ids=UNENDED_VALUES)
+def test_a_change_without_an_end_makes_a_source_list_again(bad):
+    """Guards against the loss of changes beside it: targets that join or leave."""
+    stored = {name: compose_item(name) for name in ("a", "c")}
+    at = 40
+
+    async def answer(query):
+        nonlocal at
+        if "watch" not in query:
+            items = b",".join(stored.values())
+            return b'{"items":[%s],"hasMore":false,"at":%d}' % (items, at)
+        if at > 40:
+            await asyncio.sleep(1)
+            return b'{"at":%d,"events":[]}' % at
+        at = 45
+        del stored["c"]
+        deleted = compose_item("c", "revision", b"41")
+        stored["b"] = compose_item("b", "spec", bad).replace(b'n":7', b'n":42')
+        stored["d"] = compose_item("d", "revision", b"43")
+        events = [b'{"deleted":true,"object":%s}' % deleted]
+        events += [b'{"deleted":false,"object":%s}' % stored[name] for name in "bd"]
+        return b'{"at":45,"events":[%s]}' % b",".join(events)
+
+    async def run():
+        async with serving(answer) as address:
+            store = PlatformObjectStore(address)
+            source = TargetSource(store, PlatformDialect(), MemoryDecisionLog())
+            task = asyncio.create_task(source.run())
+            async with asyncio.timeout(5):
+                while list(source.targets) != ["a", "d"]:
+                    await asyncio.sleep(0.01)
+            task.cancel()
+            await store.close()
+            assert source.reachable and source.invalid_objects >= 1
+
+    asyncio.run(run())
+
+
+def test_text_of_an_unreadable_object_stands_for_no_other_object():
+    """Guards against an entry that is replaced by a copy in another writer's text."""
+    copy = compose_item("c", "slots", b"9")
+    items = [compose_item("b", "spec", b'"," ,%s,"' % copy), compose_item("c")]
+    page = b'{"items":[%s],"hasMore":false,"at":40}' % b",".join(items)
+    answers = [page, compose_item("c")]
+
+    async def run():
+        async with serving(lambda query: answers.pop(0)) as address:
+            store = PlatformObjectStore(address)
+            listing = await store.list(["servers"])
+            await store.close()
+        assert parse_names(listing.objects) == ["c"]
+        found = PlatformDialect().parse_target("c", listing.objects[-1].value)
+        assert found.slots == ENTRY["slots"]
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("bad", UNENDED_VALUES.values(), ids=UNENDED_VALUES)
+def test_an_object_without_an_end_is_read_and_written_over(bad):
+    body = compose_item("b", "spec", bad)
+    found = call_store(body, lambda store: store.read("servers", "b"))
+    assert found == StoredObject("servers", "b", 7, b"null")
+
+
 @pytest.mark.parametrize("revision", [-1, True, 41, 2**40 + 1, 2**63, "7", 7.5])
 def test_a_revision_beyond_that_of_the_store_costs_its_object_only(revision):
     """It would count as a change that no watch returns, or as a restore."""
--- a/packages/objects/peridot_objects/http_objects.py
+++ b/packages/objects/peridot_objects/http_objects.py
@@ -57,12 +57,13 @@
                     return StoreUnavailable(f"status {response.status}")
                 data = load_document(await response.read())
                 revision = parse_revision(data["revision"], MAX_VERSION)
-                objects, unreadable = parse_items(
+                found = parse_items(
                     data["objects"], partial(parse_change, limit=revision)
                 )
-                return Listing(revision, objects, unreadable)
         except CALL_ERRORS as error:
             return StoreUnavailable(repr(error))
+        listing = Listing(revision, found.items, found.reasons)
+        return await self.confirm_listing(listing) if found.ambiguous else listing
 
     async def read(self, kind: str, name: str) -> ReadOutcome:
         try:
@@ -99,10 +100,12 @@
                     return StoreUnavailable(f"status {response.status}")
                 data = load_document(await response.read())
                 revision = parse_revision(data["revision"], MAX_VERSION)
-                changes, unreadable = parse_items(
+                found = parse_items(
                     data["changes"], partial(parse_change, limit=revision)
                 )
-                return WatchBatch(revision, changes, unreadable)
+                if found.ambiguous:
+                    return RevisionTooOld()
+                return WatchBatch(revision, found.items, found.reasons)
         except CALL_ERRORS as error:
             return StoreUnavailable(repr(error))
 
--- a/packages/objects/peridot_objects/objects.py
+++ b/packages/objects/peridot_objects/objects.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Collection
 from dataclasses import dataclass, replace
 
@@ -38,6 +38,21 @@
 class ObjectStore(ABC):
     """A store of versioned objects with conditional writes and watches."""
 
+    async def confirm_listing(self, listing: Listing) -> ListOutcome:
+        """Read the objects again that a list shows more than once.
+
+        An unreadable object's text may look like another object.
+        """
+        counts = Counter((item.kind, item.name) for item in listing.objects)
+        objects = [i for i in listing.objects if counts[i.kind, i.name] == 1]
+        for kind, name in (key for key, count in counts.items() if count > 1):
+            outcome = await self.read(kind, name)
+            if isinstance(outcome, StoreUnavailable):
+                return outcome
+            if isinstance(outcome, StoredObject):
+                objects.append(outcome)
+        return replace(listing, objects=tuple(objects))
+
     @abstractmethod
     async def list(self, kinds: Collection[str]) -> ListOutcome:
         """Return all objects of the given kinds, with the store's revision."""
--- a/packages/objects/peridot_objects/outcomes.py
+++ b/packages/objects/peridot_objects/outcomes.py
@@ -50,7 +50,11 @@
 
 @dataclass(frozen=True)
 class RevisionTooOld:
-    """The history doesn't reach back to the revision, or was restored: list again."""
+    """The changes since the revision can't be told: list again.
+
+    The history doesn't reach back to it, was restored, or has a change that can't be
+    told from others.
+    """
 
 
 @dataclass(frozen=True)
--- a/packages/objects/peridot_objects/vms.py
+++ b/packages/objects/peridot_objects/vms.py
@@ -99,7 +99,8 @@
 
 def parse_vms(text: bytes) -> VmListing:
     """Return the VMs that a JSON document describes."""
-    return VmListing(*parse_items(load_document(text)["vms"], _parse_vm))
+    parsed = parse_items(load_document(text)["vms"], _parse_vm)
+    return VmListing(parsed.items, parsed.reasons)
 
 
 def _parse_vm(item: dict) -> VmRecord:
