gateway: deliver responses before a caller's connection is closed

Cause: bytes that reach a closed socket reset its connection, and the kernel drops what is still in the send buffer. That holds for each close, also for one that the response announced and for one of an idle connection: the new test fails in all four forms without the change, the announced ones included. In a stop, a response whose head had been sent before the signal was also followed by a close that was never announced.

While it is stopping, the gateway reads nothing behind the response that it begins to send, starts what it has read, and announces the close in the last of these responses; a connection whose last response was begun before the signal is closed as an idle one. An idle connection is now one that waits for a request.

--- a/packages/gateway/peridot_gateway/ingress.py
+++ b/packages/gateway/peridot_gateway/ingress.py
@@ -79,8 +79,6 @@
         self.open_requests = 0
         self.stopping = False
         self.non_idempotent_tasks: set[asyncio.Task] = set()
-        # Connections with an open request, or whose last response says that they close.
-        self.busy_connections: set[web.RequestHandler] = set()
 
     @asynccontextmanager
     async def serve(self, address: str) -> AsyncIterator[None]:
@@ -116,7 +114,7 @@
             self.server.connections or self.non_idempotent_tasks
         ):
             for connection in self.server.connections:
-                if connection not in self.busy_connections:
+                if connection.is_idle():
                     connection.force_close()
             await asyncio.sleep(CLOSE_POLL_S)
 
@@ -137,16 +135,15 @@
             return to_response(NotRun(Reason.STOPPING))
         arrival = http_request.arrival
         self.open_requests += 1
-        self.busy_connections.add(http_request.protocol)
         caller_headers = self.dialect.parse_caller_headers(http_request.headers)
         route = self._match_route(http_request)
         try:
+            http_request.protocol.start_waiting()
             if arrival.run is not None:
                 outcome = await arrival.run
             elif isinstance(route, NotRun):
                 outcome = route
             else:
-                http_request.protocol.start_waiting()
                 outcome = await self._route(
                     http_request, route, caller_headers, arrival.began
                 )
@@ -158,8 +155,6 @@
             raise
         finally:
             self.open_requests -= 1
-            if not self.stopping:
-                self.busy_connections.discard(http_request.protocol)
 
     async def _respond(
         self,
@@ -189,13 +184,15 @@
                     aborted=response.aborted or "-",
                     took_ms=round((monotonic() - http_request.arrival.began) * 1000, 1),
                 )
-            self._close_if_stopping(http_request, response)
         return response
 
     def _close_if_stopping(
         self, http_request: CallerRequest, response: web.StreamResponse
     ) -> None:
-        if self.stopping and not http_request.protocol.count_started():
+        if not self.stopping:
+            return
+        http_request.protocol.end_reading()
+        if not http_request.protocol.count_started():
             # Requests behind it that haven't been started count as not read.
             response.force_close()
 
@@ -205,7 +202,7 @@
         Others must not run before it is certain that their response can be sent.
         """
         route = self._match_route(http_request)
-        if self.stopping or isinstance(route, NotRun) or not route.idempotent:
+        if isinstance(route, NotRun) or not route.idempotent:
             return None
         caller_headers = self.dialect.parse_caller_headers(http_request.headers)
         began = http_request.arrival.began
--- a/packages/gateway/peridot_gateway/pipelining.py
+++ b/packages/gateway/peridot_gateway/pipelining.py
@@ -14,6 +14,7 @@
 from aiohttp.http import RawRequestMessage
 from aiohttp.http_writer import StreamWriter
 
+from peridot_gateway.lingering import LingeringTransport
 from peridot_gateway.streams import discard_run
 from peridot_routing.outcomes import Outcome
 
@@ -52,6 +53,22 @@
         # By the identity of the parsed request line and headers.
         self.arrivals: dict[int, Arrival] = {}
 
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Note a new connection."""
+        super().connection_made(LingeringTransport(transport))
+
+    def is_idle(self) -> bool:
+        """Return whether no request has been read that isn't answered."""
+        return self._waiter is not None and not (self._waiter.done() or self._messages)
+
+    def end_reading(self) -> None:
+        """Read no more requests, unless the body of one is still arriving."""
+        bodies = [payload for _, payload in self._messages]
+        if self._current_request is not None:
+            bodies.append(self._current_request.content)
+        if self.transport is not None and all(body.is_eof() for body in bodies):
+            self.transport.end_reading()
+
     def data_received(self, data: bytes) -> None:
         """Note the arrival of requests, and start those that may run."""
         super().data_received(data)
--- a/packages/gateway/tests/test_streams.py
+++ b/packages/gateway/tests/test_streams.py
@@ -359,6 +359,69 @@
     run(scenario)
 
 
+FURTHER_REQUEST = (
+    b"GET /a/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: id-2\r\n"
+    b"Deadline-Ms: 5000\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize("size", [SIZE, 60_000])
+@pytest.mark.parametrize("announced", [False, True])
+def test_a_further_request_does_not_cut_the_response_before_it(announced, size, run):
+    """Guards against the end of a download that is lost at a planned stop.
+
+    Bytes that reach a closed connection reset it, with what its buffers hold.
+    """
+
+    async def scenario(setup):
+        body = setup.target.body = BODY[:size]
+        setup.target.head = KNOWN_LENGTH.replace(b"%d" % SIZE, b"%d" % size)
+        setup.ingress.stopping = announced
+        reader, writer = await setup.open_caller()
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert (b"connection: close" in head.lower()) == announced
+        setup.ingress.stopping = True
+        closing = asyncio.create_task(setup.ingress.close(monotonic() + 10.0))
+        received = b""
+        while setup.ingress.open_requests:
+            received += await reader.read(1024)
+            await asyncio.sleep(0.001)
+        # Beyond the time in which idle connections are closed.
+        await asyncio.sleep(0.1)
+        writer.write(FURTHER_REQUEST)
+        with suppress(ConnectionError):
+            while piece := await reader.read(1024):
+                received += piece
+                await asyncio.sleep(0.001)
+        assert len(received) == size and received == body
+        writer.close()
+        await closing
+
+    run(scenario)
+
+
+def test_a_caller_that_asks_while_it_reads_gets_all_responses_at_a_stop(run):
+    """Guards against requests that are read during a stop and never answered."""
+
+    async def scenario(setup):
+        reader, writer = await setup.open_caller(2)
+        await reader.readuntil(b"\r\n\r\n")
+        setup.ingress.stopping = True
+        closing = asyncio.create_task(setup.ingress.close(monotonic() + 10.0))
+        assert await reader.readexactly(SIZE) == BODY
+        writer.write(FURTHER_REQUEST)
+        assert await read_response(reader) == BODY
+        count = setup.target.accepted
+        with suppress(ConnectionError):
+            while await reader.read(1024):
+                pass
+        assert setup.target.accepted == count
+        writer.close()
+        await closing
+
+    run(scenario)
+
+
 def test_a_caller_of_http_1_0_gets_a_response_without_a_length(run):
     """Guards against a response that fails because it can't be chunked."""
 
