gateway: a target's own 503 is no promise that a request has not run

Cause: a signed response without the header that says that the request has not run was passed on with any status but 421. 408, 429 and 503 make that promise to callers, whoever chose them.

Change: such a response becomes an unknown outcome, unconfirmed_refusal: 502 without the target's signature. Idempotent requests are sent to another target first, as after any other failure. Bodies of these statuses are no longer passed on as streams. peridotd tells its callers by a header of its own (Request-Outcome), which a target can't set, so it isn't affected.

The new test failed for 408, 429 and 503 in all forms before.

--- a/packages/gateway/peridot_gateway/sender.py
+++ b/packages/gateway/peridot_gateway/sender.py
@@ -53,6 +53,8 @@
 DEADLINE_MARGIN_S = 0.015
 # Retry-After for misdirected requests: a move of keys takes about this long.
 MISDIRECTED_RETRY_MS = 400
+# Statuses by which callers are told that a request has not run and never will.
+PROMISE_STATUSES = frozenset((408, 421, 429, 503))
 # Deducted from the remaining time that targets are told, for the transfer (s).
 TRANSFER_ALLOWANCE_S = 0.005
 
@@ -384,6 +386,7 @@
             TargetBody(response, request.method),
             # Others may be followed by another attempt.
             response.status < 500
+            and response.status not in PROMISE_STATUSES
             and response_headers.signed
             and not (response_headers.misdirected or response_headers.not_run),
             request.deadline,
@@ -411,6 +414,12 @@
             return AttemptResult(
                 Unknown(Reason.TORN_ANSWER, "response not signed"), response_headers
             )
+        if response.status in PROMISE_STATUSES:
+            # The target doesn't say that the request has not run.
+            return AttemptResult(
+                Unknown(Reason.UNCONFIRMED_REFUSAL, f"status {response.status}"),
+                response_headers,
+            )
         headers = end_to_end_headers(response.headers)
         return AttemptResult(
             Answered(response.status, headers, body, target.name), response_headers
--- a/packages/gateway/tests/test_sender.py
+++ b/packages/gateway/tests/test_sender.py
@@ -12,10 +12,11 @@
 from peridot_gateway.answers import MAX_BUFFERED_BYTES, MAX_RESPONSE_BYTES
 from peridot_gateway.dialect import ResponseHeaders
 from peridot_gateway.estimates import Estimates
+from peridot_gateway.ingress import to_response
 from peridot_gateway.sender import Sender
 from peridot_gateway.streams import BrokenStream, ResponseStream
 from peridot_placement.decisions import MemoryDecisionLog
-from peridot_routing.outcomes import Answered, Outcome, Reason, Unknown
+from peridot_routing.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 
 # An endless response is aborted well before the request's deadline (s).
 REMAINING_S = 10.0
@@ -198,3 +199,42 @@
             assert estimate.failed == 1
 
     asyncio.run(scenario())
+
+
+class SignedDialect(PlainDialect):
+    """A dialect in which a target says that a request has not run by a header."""
+
+    def parse_response_headers(self, status, headers, request):
+        not_run = "Not-Run" in headers
+        return ResponseHeaders(not_run, False, None, False, True, None, None)
+
+
+# Guards against orders that are applied twice: callers take these statuses for the
+# promise that a request has not run, and send it again.
+@pytest.mark.parametrize("size", [2, 100_000])
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_a_target_that_fails_makes_no_promise(
+    status, idempotent, size, make_request, make_target
+):
+    head = b"HTTP/1.1 %d X\r\nRetry-After: 0.1\r\nContent-Length: %d\r\n"
+    start = head % (status, size)
+    body = b"x" * size
+
+    async def attempt(response):
+        async with serve_raw_target(EndlessTarget(response), make_target) as parts:
+            sender, target = parts
+            sender.dialect = SignedDialect()
+            request = make_request(idempotent, remaining_s=REMAINING_S)
+            return (await sender.attempt(request, target, REMAINING_S)).outcome
+
+    async def scenario():
+        outcome = await attempt(start + b"\r\n" + body)
+        detail = f"status {status}"
+        assert outcome == Unknown(Reason.UNCONFIRMED_REFUSAL, detail)
+        assert to_response(outcome).status == 502
+        outcome = await attempt(start + b"Not-Run: 1\r\n\r\n" + body)
+        assert isinstance(outcome, NotRun)
+        assert to_response(outcome).status == 503
+
+    asyncio.run(scenario())
--- a/packages/routing/peridot_routing/outcomes.py
+++ b/packages/routing/peridot_routing/outcomes.py
@@ -30,6 +30,7 @@
     TARGET_REFUSED = "target_refused"
     TORN_ANSWER = "torn_answer"
     ANSWER_TOO_LARGE = "answer_too_large"
+    UNCONFIRMED_REFUSAL = "unconfirmed_refusal"
     UNKNOWN_SERVICE = "unknown_service"
 
 
