gateway: refuse requests that the end of a stop may cut off

Reported by another operator: requests that came late in the grace of a planned stop were passed on and cut off at its end, among them some that may not be repeated.

Cause here: connections with a request on them are served until the stop ends, and a request was passed on whenever its body was complete. A body that arrives slowly is complete late.

Change: a request that is complete over 3 s after the signal, or past half of a shorter stop, is refused as not run at once if its deadline lies behind the end of the stop. Uploads, which may arrive until their deadline, are refused so from the signal on.

--- a/packages/gateway/peridot_gateway/daemon.py
+++ b/packages/gateway/peridot_gateway/daemon.py
@@ -222,10 +222,11 @@
         began = monotonic()
         deadline = began + self.settings.stop_timeout_s - STOP_MARGIN_S
         self.log.write("stopping", open_requests=self.ingress.open_requests)
-        self.ingress.stopping = self.router.stopping = True
+        self.ingress.begin_stop(deadline)
+        self.router.stopping = True
         self.fleet.leave()
         await asyncio.sleep(min(BALANCER_NOTICE_S, self.settings.stop_timeout_s / 2))
-        await self.ingress.close(deadline)
+        await self.ingress.close()
         unfinished = self.ingress.open_requests
         for task in self.tasks:
             task.cancel()
--- a/packages/gateway/peridot_gateway/ingress.py
+++ b/packages/gateway/peridot_gateway/ingress.py
@@ -53,6 +53,10 @@
 CLOSE_POLL_S = 0.02
 # Requests that start at the very end still get their response.
 SHUTDOWN_TIMEOUT_S = 0.4
+# While the gateway is being stopped, requests that arrive later (s), or past this share
+# of the stop, must be certain to end before it does.
+LATE_ARRIVAL_S = 3.0
+LATE_ARRIVAL_SHARE = 0.5
 # Idle connections are kept open for longer than callers reuse them.
 IDLE_MARGIN_S = 5.0
 
@@ -78,6 +82,9 @@
         self.body_reader = BodyReader()
         self.open_requests = 0
         self.stopping = False
+        # From when on requests count as late, and when the stop ends (s, monotonic).
+        self.late_from = float("inf")
+        self.stops_at = float("inf")
         self.non_idempotent_tasks: set[asyncio.Task] = set()
 
     @asynccontextmanager
@@ -104,13 +111,21 @@
         finally:
             await runner.cleanup()
 
-    async def close(self, deadline: float) -> None:
-        """Accept no new connections; return when all have ended, or at a deadline (s).
+    def begin_stop(self, stops_at: float) -> None:
+        """Note that the gateway is being stopped, until a time (s, monotonic)."""
+        now = monotonic()
+        self.stopping = True
+        self.stops_at = stops_at
+        share_s = LATE_ARRIVAL_SHARE * (stops_at - now)
+        self.late_from = now + min(LATE_ARRIVAL_S, share_s)
+
+    async def close(self) -> None:
+        """Accept no new connections; return when all have ended, or the stop ends.
 
         Idle connections are closed now, the others after their response.
         """
         await self.site.stop()
-        while monotonic() < deadline and (
+        while monotonic() < self.stops_at and (
             self.server.connections or self.non_idempotent_tasks
         ):
             for connection in self.server.connections:
@@ -266,11 +281,21 @@
         ) as body:
             if isinstance(body, NotRun):
                 return body
+            if self._may_be_cut_off(body, began + wait_s):
+                return NotRun(Reason.STOPPING, detail="too late to be finished")
             request = self._build_request(
                 http_request, route, service, caller_headers, body, began, wait_s
             )
             return await self._run_request(request)
 
+    def _may_be_cut_off(self, body: bytes | Upload, deadline: float) -> bool:
+        """Return whether a request may still run when the stop ends.
+
+        Those that arrive in time seldom do. Uploads may arrive until their deadline.
+        """
+        is_late = isinstance(body, Upload) or monotonic() > self.late_from
+        return self.stopping and is_late and deadline > self.stops_at
+
     def _build_request(
         self,
         http_request: web.BaseRequest,
--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -198,7 +198,8 @@
             raise
         finally:
             self.running -= 1
-        self.body_sizes.append(len(request.body))
+        upload = request.upload
+        self.body_sizes.append(len(request.body) if upload is None else upload.length)
         if "refuse" in request.path:
             return NotRun(Reason.OVERLOADED, 100)
         return Answered(200, (), request.request_id.encode(), "t")
--- a/packages/gateway/tests/test_pipelining.py
+++ b/packages/gateway/tests/test_pipelining.py
@@ -127,8 +127,8 @@
     async def scenario(ingress, router, reader, writer):
         send(writer, ("/a/1", "id-1"), ("/a/2", "id-2"), ("/o/3", "id-3"))
         await asyncio.sleep(DELAY_S / 2)
-        ingress.stopping = True
-        closing = asyncio.create_task(ingress.close(monotonic() + 3.0))
+        ingress.begin_stop(monotonic() + 3.0)
+        closing = asyncio.create_task(ingress.close())
         for n in (1, 2):
             assert await read_response(reader) == (200, f"id-{n}".encode())
         assert await reader.read() == b""
--- a/packages/gateway/tests/test_streams.py
+++ b/packages/gateway/tests/test_streams.py
@@ -345,9 +345,9 @@
     async def scenario(setup):
         reader, writer = await setup.open_caller()
         await wait_until(lambda: setup.buffers.open)
-        setup.ingress.stopping = True
         began = monotonic()
-        closing = asyncio.create_task(setup.ingress.close(began + 1.0))
+        setup.ingress.begin_stop(began + 1.0)
+        closing = asyncio.create_task(setup.ingress.close())
         await asyncio.sleep(0.1)
         if reading:
             assert await read_response(reader) == BODY
@@ -380,8 +380,8 @@
         reader, writer = await setup.open_caller()
         head = await reader.readuntil(b"\r\n\r\n")
         assert (b"connection: close" in head.lower()) == announced
-        setup.ingress.stopping = True
-        closing = asyncio.create_task(setup.ingress.close(monotonic() + 10.0))
+        setup.ingress.begin_stop(monotonic() + 10.0)
+        closing = asyncio.create_task(setup.ingress.close())
         received = b""
         while setup.ingress.open_requests:
             received += await reader.read(1024)
@@ -406,8 +406,8 @@
     async def scenario(setup):
         reader, writer = await setup.open_caller(2)
         await reader.readuntil(b"\r\n\r\n")
-        setup.ingress.stopping = True
-        closing = asyncio.create_task(setup.ingress.close(monotonic() + 10.0))
+        setup.ingress.begin_stop(monotonic() + 10.0)
+        closing = asyncio.create_task(setup.ingress.close())
         assert await reader.readexactly(SIZE) == BODY
         writer.write(FURTHER_REQUEST)
         assert await read_response(reader) == BODY
