objects: abort endless responses of the store and to all calls

Reported by another operator: a faulty endpoint sent bytes without end, and the process that had called it kept them all and ran out of memory.

Cause here: requests, orders, grants and releases were bounded, but not the calls to the store, nor peridotd's calls to the store, the VM list and targets.

--- a/packages/gateway/peridot_gateway/sockets.py
+++ b/packages/gateway/peridot_gateway/sockets.py
@@ -1,4 +1,4 @@
-"""Connections that are reset on close and that bound the size of responses."""
+"""Connections that are reset on close, and limits of their idle time."""
 
 import socket
 import struct
@@ -8,13 +8,9 @@
 from dataclasses import dataclass
 from time import monotonic
 
-from aiohttp import AddrInfoType, ClientPayloadError, ClientResponse
+from aiohttp import AddrInfoType, ClientResponse
 
-from peridot_objects.connections import (
-    FIRST_FINAL_STATUS,
-    QuietConnector,
-    QuietResponseHandler,
-)
+from peridot_objects.connections import BoundedResponseHandler, QuietConnector
 
 # Closing resets the connection (SO_LINGER with a timeout of 0): a request that is still
 # in the socket buffer during a partition must not arrive after its sender gave it up.
@@ -23,52 +19,10 @@
 # megabytes for a large response that isn't read. It begins with this size anyway.
 RECEIVE_BUFFER_BYTES = 64 * 2**10
 
-# Bytes of the head, interim responses included; targets' heads have some hundred bytes.
-MAX_HEAD_BYTES = 256 * 2**10
 # Bytes of a response with its head and framing: a little over the largest body.
 MAX_RECEIVED_BYTES = 5 * 2**20
 
 
-class BoundedResponseHandler(QuietResponseHandler):
-    """Close the connection when a response has too many bytes of any kind.
-
-    aiohttp limits header lines, but not interim responses or chunk extensions.
-    """
-
-    received_bytes = 0
-    has_head = False
-
-    def set_response_params(self, **params) -> None:
-        """Reset the count for the next response."""
-        self.received_bytes = 0
-        self.has_head = False
-        super().set_response_params(**params)
-
-    def feed_data(self, item, size: int = 0) -> None:
-        """Record whether a final head has arrived, not only an interim one."""
-        message, _ = item
-        self.has_head = message.code >= FIRST_FINAL_STATUS
-        super().feed_data(item, size)
-
-    def data_received(self, data: bytes) -> None:
-        """Count received bytes and abort the connection if there are too many."""
-        super().data_received(data)
-        self.received_bytes += len(data)
-        if self.received_bytes > (
-            MAX_RECEIVED_BYTES if self.has_head else MAX_HEAD_BYTES
-        ):
-            self._abort_connection()
-
-    def _abort_connection(self) -> None:
-        error = ClientPayloadError("the response has too many bytes")
-        if self._payload is not None:
-            self._payload.set_exception(error)
-        self.set_exception(error)
-        if self.transport is not None:
-            # ResponseHandler.abort would drop the error.
-            self.transport.abort()
-
-
 class ClosingResponse(ClientResponse):
     """A response that closes its connection even if it has been received whole.
 
@@ -130,8 +84,6 @@
 class IdleLimitConnector(QuietConnector):
     """A connector with a limit of the idle time for each request."""
 
-    handler_class = BoundedResponseHandler
-
     def may_reuse(self, released_at: float) -> bool:
         # aiohttp has one limit for all requests of a connector.
         use = connection_use.get()
@@ -159,6 +111,13 @@
                 protocol.close()
 
 
-def open_connector(**options) -> IdleLimitConnector:
+def open_connector(
+    max_received_bytes: int = MAX_RECEIVED_BYTES, **options
+) -> IdleLimitConnector:
     """Return a connector without a connection limit, with reset on close."""
-    return IdleLimitConnector(limit=0, socket_factory=open_socket, **options)
+    return IdleLimitConnector(
+        max_received_bytes=max_received_bytes,
+        limit=0,
+        socket_factory=open_socket,
+        **options,
+    )
--- a/packages/objects/peridot_objects/connections.py
+++ b/packages/objects/peridot_objects/connections.py
@@ -1,15 +1,20 @@
-"""HTTP connections that are not used again once unexpected bytes arrived on them."""
+"""HTTP connections that are closed when unexpected or too many bytes arrive."""
 
 import asyncio
 import select
 from functools import partial
 
-from aiohttp import ClientSession, DummyCookieJar, TCPConnector
+from aiohttp import ClientPayloadError, ClientSession, DummyCookieJar, TCPConnector
 from aiohttp.client_proto import ResponseHandler
 
 # Statuses of complete responses, the last one included.
 FIRST_FINAL_STATUS = 200
 LAST_STATUS = 599
+# Bytes of the head, interim responses included; usual heads have some hundred bytes.
+MAX_HEAD_BYTES = 256 * 2**10
+# Bytes of a response with its head and framing. Those of a store are lists of about
+# 1 MB, single objects, and changes of some seconds.
+MAX_RECEIVED_BYTES = 16 * 2**20
 
 
 def is_final_status(status: int) -> bool:
@@ -51,19 +56,66 @@
         return not poll.poll(0)
 
 
+class BoundedResponseHandler(QuietResponseHandler):
+    """Close the connection when a response has too many bytes of any kind.
+
+    aiohttp limits header lines, but not interim responses or chunk extensions.
+    """
+
+    received_bytes = 0
+    has_head = False
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, max_received_bytes: float):
+        super().__init__(loop)
+        self.max_received_bytes = max_received_bytes
+
+    def set_response_params(self, **params) -> None:
+        """Reset the count for the next response."""
+        self.received_bytes = 0
+        self.has_head = False
+        super().set_response_params(**params)
+
+    def feed_data(self, item, size: int = 0) -> None:
+        """Record whether a final head has arrived, not only an interim one."""
+        message, _ = item
+        self.has_head = message.code >= FIRST_FINAL_STATUS
+        super().feed_data(item, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Count received bytes and abort the connection if there are too many."""
+        super().data_received(data)
+        self.received_bytes += len(data)
+        if self.received_bytes > (
+            self.max_received_bytes if self.has_head else MAX_HEAD_BYTES
+        ):
+            self._abort_connection()
+
+    def _abort_connection(self) -> None:
+        error = ClientPayloadError("the response has too many bytes")
+        if self._payload is not None:
+            self._payload.set_exception(error)
+        self.set_exception(error)
+        if self.transport is not None:
+            # ResponseHandler.abort would drop the error.
+            self.transport.abort()
+
+
 class QuietConnector(TCPConnector):
     """A connector that uses the connection first that was used last.
 
-    Connections on which bytes arrived while they were idle are not used again.
+    Connections on which bytes arrived while they were idle are not used again, and
+    those with more bytes of a response than a limit are closed.
     """
 
-    handler_class = QuietResponseHandler
-
-    def __init__(self, **options) -> None:
+    def __init__(
+        self, max_received_bytes: float = MAX_RECEIVED_BYTES, **options
+    ) -> None:
         super().__init__(**options)
         # aiohttp has no public option for the class of connections.
         loop = asyncio.get_running_loop()
-        self._factory = partial(self.handler_class, loop=loop)
+        self._factory = partial(
+            BoundedResponseHandler, loop=loop, max_received_bytes=max_received_bytes
+        )
 
     async def _get(self, key, traces):
         connections = self._conns.get(key)
--- a/packages/routing/peridot_routing/attempts.py
+++ b/packages/routing/peridot_routing/attempts.py
@@ -5,6 +5,7 @@
 from contextlib import asynccontextmanager
 from contextvars import ContextVar
 from dataclasses import dataclass
+from math import inf
 
 from aiohttp import (
     ClientConnectorError,
@@ -120,12 +121,13 @@
     If it is only one, all requests share it, and none reuses it.
     """
     unpooled_limit = max(1, connections // 4)
-    unpooled = TCPConnector(limit=unpooled_limit, force_close=True)
+    # Bodies have limits of their own, by route.
+    unpooled = QuietConnector(inf, limit=unpooled_limit, force_close=True)
     if connections == 1:
         async with _open_session(unpooled) as session:
             yield TargetSessions(session, session)
         return
-    pooled = QuietConnector(limit=connections - unpooled_limit)
+    pooled = QuietConnector(inf, limit=connections - unpooled_limit)
     async with _open_session(pooled) as first, _open_session(unpooled) as second:
         yield TargetSessions(first, second)
 
