gateway: answer requests that have arrived when a stop closes connections

Cause: a connection counted as idle whose request had arrived and was not yet handled. On a machine that lacks processor time that takes a while.

Evidence: the new test failed before with a reset connection, for requests that may be repeated and others.

--- a/packages/gateway/peridot_gateway/pipelining.py
+++ b/packages/gateway/peridot_gateway/pipelining.py
@@ -16,6 +16,7 @@
 
 from peridot_gateway.lingering import LingeringTransport
 from peridot_gateway.streams import discard_run
+from peridot_objects.connections import has_arrived
 from peridot_routing.outcomes import Outcome
 
 # Requests of one connection that run beside the one whose response is due.
@@ -58,8 +59,11 @@
         super().connection_made(LingeringTransport(transport))
 
     def is_idle(self) -> bool:
-        """Return whether no request has been read that isn't answered."""
-        return self._waiter is not None and not (self._waiter.done() or self._messages)
+        """Return whether no request has arrived that isn't answered."""
+        if self._waiter is None or self._waiter.done() or self._messages:
+            return False
+        # The event loop may not have read yet what has arrived.
+        return self.transport is None or not has_arrived(self.transport)
 
     def end_reading(self) -> None:
         """Read no more requests, unless the body of one is still arriving."""
--- a/packages/gateway/tests/test_pipelining.py
+++ b/packages/gateway/tests/test_pipelining.py
@@ -7,6 +7,7 @@
 import asyncio
 import random
 from time import monotonic
+from types import SimpleNamespace
 
 import pytest
 
@@ -138,6 +139,30 @@
     run(open_ingress, scenario)
 
 
+@pytest.mark.parametrize("path", ["/a/2", "/o/2"])
+def test_a_request_that_arrived_before_a_stop_closes_connections_is_answered(
+    path, open_ingress
+):
+    """Guards against requests that are lost while the process lacks processor time."""
+
+    async def scenario(ingress, router, reader, writer):
+        send(writer, ("/a/1", "id-1"))
+        assert await read_response(reader) == (200, b"id-1")
+
+        async def stop_listening():
+            # The event loop doesn't read again before it closes idle connections.
+            send(writer, (path, "id-2"))
+
+        ingress.begin_stop(monotonic() + 3.0)
+        ingress.site = SimpleNamespace(stop=stop_listening)
+        closing = asyncio.create_task(ingress.close())
+        assert await read_response(reader) == (200, b"id-2")
+        assert await reader.read() == b""
+        await closing
+
+    run(open_ingress, scenario)
+
+
 def test_the_time_that_a_request_waits_for_its_turn_counts(open_ingress):
     """Otherwise targets are told more time than the caller waits."""
 
--- a/packages/objects/peridot_objects/connections.py
+++ b/packages/objects/peridot_objects/connections.py
@@ -25,6 +25,13 @@
     return FIRST_FINAL_STATUS <= status <= LAST_STATUS
 
 
+def has_arrived(transport: asyncio.Transport) -> bool:
+    """Return whether bytes, or the end of the connection, wait in a socket."""
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 class QuietResponseHandler(ResponseHandler):
     """Close an idle connection on which bytes arrive: they belong to no request.
 
@@ -51,9 +58,7 @@
         if not self.is_connected() or self.should_close:
             return False
         # The event loop may not have read yet what has arrived.
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not poll.poll(0)
+        return not has_arrived(self.transport)
 
 
 class BoundedResponseHandler(QuietResponseHandler):
