gateway: pass on responses of up to 64 MiB

Cause: streams had the limit of responses that are read whole, though a stream holds no more than its share of memory whatever its size is.

Change: a stream may have 64 MiB, as much as callers may send at the operators' sites. The limit of a connection's bytes was a little over 4 MiB and bounded framing, trailers and chunk extensions too; those now have 1 MiB and eight bytes for each of the body. Larger downloads are still cut off.

--- a/packages/gateway/peridot_gateway/answers.py
+++ b/packages/gateway/peridot_gateway/answers.py
@@ -4,8 +4,11 @@
 
 from aiohttp import ClientResponse
 
-# Far above any response of the operators' services (30 KB), far below a VM's memory.
+# Bodies that are read whole: failures, and others whose length is small or unproven.
 MAX_RESPONSE_BYTES = 4 * 2**20
+# Bodies that are passed on while they arrive: as large as the requests that callers may
+# send at the operators' sites. Little of them is in memory; it ends what has no end.
+MAX_STREAM_BYTES = 64 * 2**20
 # All bodies that are being read, unless the settings say otherwise.
 MAX_BUFFERED_BYTES = 32 * 2**20
 # Above that limit, bodies up to this size are still read: most are smaller.
--- a/packages/gateway/peridot_gateway/sockets.py
+++ b/packages/gateway/peridot_gateway/sockets.py
@@ -10,6 +10,7 @@
 
 from aiohttp import AddrInfoType, ClientResponse
 
+from peridot_gateway.answers import MAX_STREAM_BYTES
 from peridot_objects.connections import BoundedResponseHandler, QuietConnector
 
 # Closing resets the connection (SO_LINGER with a timeout of 0): a request that is still
@@ -19,8 +20,8 @@
 # megabytes for a large response that isn't read. It begins with this size anyway.
 RECEIVE_BUFFER_BYTES = 64 * 2**10
 
-# Bytes of a response with its head and framing: a little over the largest body.
-MAX_RECEIVED_BYTES = 5 * 2**20
+# Bytes of a response with its head and framing; bodies end before.
+MAX_RECEIVED_BYTES = 2 * MAX_STREAM_BYTES
 
 
 class ClosingResponse(ClientResponse):
--- a/packages/gateway/peridot_gateway/streams.py
+++ b/packages/gateway/peridot_gateway/streams.py
@@ -12,7 +12,7 @@
 from aiohttp import ClientError, ClientResponse, web
 from multidict import CIMultiDict
 
-from peridot_gateway.answers import MAX_RESPONSE_BYTES, SMALL_RESPONSE_BYTES
+from peridot_gateway.answers import MAX_STREAM_BYTES, SMALL_RESPONSE_BYTES
 from peridot_gateway.sockets import RESET_ON_CLOSE
 from peridot_routing.attempts import BODYLESS_STATUSES
 from peridot_routing.outcomes import Answered, BodyStream, Outcome, Reason, Unknown
@@ -106,7 +106,7 @@
         length = body.response.content_length
         if body.is_empty or (body.closed is None and not body.is_framed):
             return False
-        return length is None or SMALL_RESPONSE_BYTES < length <= MAX_RESPONSE_BYTES
+        return length is None or SMALL_RESPONSE_BYTES < length <= MAX_STREAM_BYTES
 
     async def read(
         self, body: TargetBody, deadline: float, silence_s: float
@@ -232,7 +232,7 @@
             if not piece:
                 break
             self.append(piece)
-            if self.received_bytes > MAX_RESPONSE_BYTES:
+            if self.received_bytes > MAX_STREAM_BYTES:
                 raise BrokenStream("body too large")
         if not self.source.has_proven_end():
             raise BrokenStream("body truncated")
--- a/packages/objects/peridot_objects/connections.py
+++ b/packages/objects/peridot_objects/connections.py
@@ -4,7 +4,13 @@
 import select
 from functools import partial
 
-from aiohttp import ClientPayloadError, ClientSession, DummyCookieJar, TCPConnector
+from aiohttp import (
+    ClientPayloadError,
+    ClientSession,
+    DummyCookieJar,
+    StreamReader,
+    TCPConnector,
+)
 from aiohttp.client_proto import ResponseHandler
 
 # Statuses of complete responses, the last one included.
@@ -12,6 +18,9 @@
 LAST_STATUS = 599
 # Bytes of the head, interim responses included; usual heads have some hundred bytes.
 MAX_HEAD_BYTES = 256 * 2**10
+# Bytes of a response beside its body, and how many there may be for each of the body.
+MAX_FRAMING_BYTES = 2**20
+MAX_BYTES_PER_BYTE = 8
 # Bytes of a response with its head and framing. Those of a store are lists of about
 # 1 MB, single objects, and changes of some seconds.
 MAX_RECEIVED_BYTES = 16 * 2**20
@@ -68,7 +77,8 @@
     """
 
     received_bytes = 0
-    has_head = False
+    # The body of the final response, once its head has arrived.
+    body: StreamReader | None = None
 
     def __init__(self, loop: asyncio.AbstractEventLoop, max_received_bytes: float):
         super().__init__(loop)
@@ -77,24 +87,30 @@
     def set_response_params(self, **params) -> None:
         """Reset the count for the next response."""
         self.received_bytes = 0
-        self.has_head = False
+        self.body = None
         super().set_response_params(**params)
 
     def feed_data(self, item, size: int = 0) -> None:
-        """Record whether a final head has arrived, not only an interim one."""
-        message, _ = item
-        self.has_head = message.code >= FIRST_FINAL_STATUS
+        """Note the body of the final response; interim ones have none."""
+        message, body = item
+        if message.code >= FIRST_FINAL_STATUS:
+            self.body = body
         super().feed_data(item, size)
 
     def data_received(self, data: bytes) -> None:
         """Count received bytes and abort the connection if there are too many."""
         super().data_received(data)
         self.received_bytes += len(data)
-        if self.received_bytes > (
-            self.max_received_bytes if self.has_head else MAX_HEAD_BYTES
-        ):
+        if self.received_bytes > self._max_bytes():
             self._abort_connection()
 
+    def _max_bytes(self) -> float:
+        """Return how many bytes the response may have had by now."""
+        if self.body is None:
+            return MAX_HEAD_BYTES
+        framed_bytes = MAX_FRAMING_BYTES + MAX_BYTES_PER_BYTE * self.body.total_bytes
+        return min(self.max_received_bytes, framed_bytes)
+
     def _abort_connection(self) -> None:
         error = ClientPayloadError("the response has too many bytes")
         if self._payload is not None:
