--- a/packages/gateway/peridot_gateway/lingering.py
+++ b/packages/gateway/peridot_gateway/lingering.py
@@ -54,10 +54,12 @@
             return
         loop = asyncio.get_running_loop()
         self.closes_by = loop.time() + MAX_LINGER_S
-        if not self.is_delivered():
-            self.end_reading()
-            self.transport.write_eof()
-        self._close_when_delivered(loop)
+        if self.is_delivered():
+            self.transport.close()
+            return
+        self.end_reading()
+        self.transport.write_eof()
+        loop.call_later(POLL_PERIOD_S, self._close_when_delivered, loop)
 
     def _close_when_delivered(self, loop: asyncio.AbstractEventLoop) -> None:
         if self.transport.is_closing():
