--- a/packages/gateway/peridot_gateway/lingering.py
+++ b/packages/gateway/peridot_gateway/lingering.py
@@ -58,7 +58,12 @@
             self.transport.close()
             return
         self.end_reading()
-        self.transport.write_eof()
+        try:
+            self.transport.write_eof()
+        except OSError:
+            # The caller has reset the connection, which wasn't noticed yet.
+            self.transport.abort()
+            return
         loop.call_later(POLL_PERIOD_S, self._close_when_delivered, loop)
 
     def _close_when_delivered(self, loop: asyncio.AbstractEventLoop) -> None:
--- a/packages/gateway/tests/test_streams.py
+++ b/packages/gateway/tests/test_streams.py
@@ -11,7 +11,12 @@
 from peridot_gateway.answers import MAX_STREAM_BYTES
 from peridot_gateway.memory import MIB, divide_memory
 from peridot_gateway.sockets import RESET_ON_CLOSE
-from peridot_gateway.streams import MIN_STREAM_BYTES, PIECE_BYTES, WAITING_BYTES
+from peridot_gateway.streams import (
+    MIN_STREAM_BYTES,
+    PIECE_BYTES,
+    WAITING_BYTES,
+    set_option,
+)
 
 # The largest download of the stated load.
 SIZE = 540 * 1000
@@ -431,6 +436,22 @@
     run(scenario)
 
 
+def test_a_caller_that_resets_the_connection_as_it_is_closed(run):
+    """Guards against connections that count as open for as long as they may linger."""
+
+    async def scenario(setup):
+        setup.ingress.stopping = True
+        reader, writer = await setup.open_caller()
+        await reader.readuntil(b"\r\n\r\n")
+        set_option(writer.transport, socket.SO_LINGER, RESET_ON_CLOSE)
+        (connection,) = setup.ingress.server.connections
+        writer.transport.abort()
+        connection.transport.close()
+        await wait_until(lambda: not setup.ingress.server.connections)
+
+    run(scenario)
+
+
 def test_a_caller_that_asks_while_it_reads_gets_all_responses_at_a_stop(run):
     """Guards against requests that are read during a stop and never answered."""
 
