--- a/packages/gateway/peridot_gateway/answers.py
+++ b/packages/gateway/peridot_gateway/answers.py
@@ -7,7 +7,7 @@
 # Bodies that are read whole: failures, and others whose length is small or unproven.
 MAX_RESPONSE_BYTES = 4 * 2**20
 # Bodies that are passed on while they arrive: as large as the requests that callers may
-# send at the operators' sites. Little of them is in memory; it ends what has no end.
+# send at the operators' sites. Little of them is in memory; endless ones must end.
 MAX_STREAM_BYTES = 64 * 2**20
 # All bodies that are being read, unless the settings say otherwise.
 MAX_BUFFERED_BYTES = 32 * 2**20
--- a/packages/objects/peridot_objects/connections.py
+++ b/packages/objects/peridot_objects/connections.py
@@ -18,9 +18,10 @@
 LAST_STATUS = 599
 # Bytes of the head, interim responses included; usual heads have some hundred bytes.
 MAX_HEAD_BYTES = 256 * 2**10
-# Bytes of a response beside its body, and how many there may be for each of the body.
+# Bytes of a response beside its body, and how many more for each byte of it: chunks may
+# be small.
 MAX_FRAMING_BYTES = 2**20
-MAX_BYTES_PER_BYTE = 8
+MAX_FRAMING_RATIO = 8
 # Bytes of a response with its head and framing. Those of a store are lists of about
 # 1 MB, single objects, and changes of some seconds.
 MAX_RECEIVED_BYTES = 16 * 2**20
@@ -108,7 +109,7 @@
         """Return how many bytes the response may have had by now."""
         if self.body is None:
             return MAX_HEAD_BYTES
-        framed_bytes = MAX_FRAMING_BYTES + MAX_BYTES_PER_BYTE * self.body.total_bytes
+        framed_bytes = MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * self.body.total_bytes
         return min(self.max_received_bytes, framed_bytes)
 
     def _abort_connection(self) -> None:
--- a/packages/objects/peridot_objects/documents.py
+++ b/packages/objects/peridot_objects/documents.py
@@ -94,7 +94,7 @@
         tail = _read_tail(text[end + 1 :])
         if tail is None:
             continue
-        # Only the object's end may follow this bracket although the list ended before.
+        # The last bracket may be that of a member behind the list.
         if tail or found is None:
             found = {**head, **tail, name: InvalidArray(text[start + 1 : end])}
         if tail:
